Lay the parts of a VM's one process: decisions, store client, data path

Cause: the product's daemons speak only to themselves; the platform wants one process a VM that finds everything in its store.

The decisions stand in src/libs/traffic without I/O; src/libs/vm carries them on one event loop; platform/ holds names, formats and calls.

--- /dev/null
+++ b/src/libs/store/row.h
@@ -0,0 +1,32 @@
+#ifndef EBONY_STORE_ROW_H
+#define EBONY_STORE_ROW_H
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace ebony::store {
+
+/// One row of a table, or the mark that it was removed.
+struct Row {
+  std::string Key_;
+  std::string Value_;
+  /// Version of the transaction that wrote the row.
+  std::int64_t Version_ = 0;
+  bool IsRemoved_ = false;
+
+  friend bool operator==(const Row &, const Row &) = default;
+};
+
+/// Rows of one answer, and the version of the store that it shows.
+struct Rows {
+  std::vector<Row> Rows_;
+  std::int64_t Version_ = 0;
+  bool HasMore_ = false;
+
+  friend bool operator==(const Rows &, const Rows &) = default;
+};
+
+} // namespace ebony::store
+
+#endif
--- /dev/null
+++ b/src/libs/traffic/callerlimits.h
@@ -0,0 +1,23 @@
+#ifndef EBONY_TRAFFIC_CALLERLIMITS_H
+#define EBONY_TRAFFIC_CALLERLIMITS_H
+
+#include "base/time.h"
+
+#include <cstdint>
+
+namespace ebony::traffic {
+
+/// Bounds on what callers may send. The defaults hold until the first
+/// configuration is known.
+struct CallerLimits {
+  std::uint32_t HeaderBytes_ = 16384;
+  std::uint64_t BodyBytes_ = 64ULL << 20;
+  base::Duration HeaderTimeout_ = std::chrono::seconds(3);
+  base::Duration IdleTimeout_ = std::chrono::seconds(15);
+
+  friend bool operator==(const CallerLimits &, const CallerLimits &) = default;
+};
+
+} // namespace ebony::traffic
+
+#endif
--- /dev/null
+++ b/src/libs/traffic/dispatcher.cpp
@@ -0,0 +1,241 @@
+#include "traffic/dispatcher.h"
+
+#include <algorithm>
+
+namespace ebony::traffic {
+
+namespace {
+
+// Upstreams of an object's order that are compared; more would spread an
+// object over upstreams that do not know it.
+constexpr std::size_t Compared = 4;
+
+// Part of the time left that a foreseen answer may take; the rest covers
+// errors of the forecast and the way back.
+constexpr double UsableTime = 0.9;
+
+// How far past its due time a request is still taken in: beyond that the slot
+// serves another caller better.
+constexpr double DueOverrun = 1.3;
+
+// Weight of one answer in an upstream's smoothed slowness.
+constexpr double SlownessWeight = 0.1;
+constexpr double LeastSlowness = 0.5;
+constexpr double MostSlowness = 10.0;
+
+// A request ranks as if it were due this much earlier for each step of
+// priority; bounded, so that no customer starves.
+constexpr base::Duration PriorityStep = std::chrono::milliseconds(100);
+
+// Bounds of the advice when to return.
+constexpr base::Duration LeastRetryAfter = std::chrono::milliseconds(150);
+constexpr base::Duration MostRetryAfter = std::chrono::seconds(2);
+
+base::Duration scaled(base::Duration Span, double Factor) {
+  return base::fromSeconds(base::toSeconds(Span) * Factor);
+}
+
+base::TimePoint rankTime(const Job &One) {
+  return One.Due_ + PriorityStep * One.Priority_;
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(UpstreamTable &Table, PlacementOrder Order,
+                       ColdGate &Cold, DispatchTerms Terms,
+                       base::RandomEngine Random)
+    : Table_(Table), Order_(std::move(Order)), Cold_(Cold), Terms_(Terms),
+      Random_(Random) {}
+
+Placement Dispatcher::submit(std::unique_ptr<Job> &One, base::TimePoint Now) {
+  Placement Result = decide(*One, Now);
+  if (Result.Verdict_ == PlacementVerdict::Wait) {
+    const auto Place = std::upper_bound(
+        Waiting_.begin(), Waiting_.end(), One,
+        [](const std::unique_ptr<Job> &A, const std::unique_ptr<Job> &B) {
+          return rankTime(*A) < rankTime(*B);
+        });
+    Waiting_.insert(Place, std::move(One));
+  }
+  return Result;
+}
+
+std::vector<std::pair<std::unique_ptr<Job>, Placement>>
+Dispatcher::poll(base::TimePoint Now) {
+  std::vector<std::pair<std::unique_ptr<Job>, Placement>> Result;
+  for (std::size_t I = 0; I < Waiting_.size();) {
+    Placement Found = decide(*Waiting_[I], Now);
+    if (Found.Verdict_ == PlacementVerdict::Wait) {
+      ++I;
+      continue;
+    }
+    // The slot is taken here, so that the next in the queue does not see it.
+    if (Found.Verdict_ == PlacementVerdict::Send)
+      begin(Found, *Waiting_[I], Now);
+    Result.emplace_back(std::move(Waiting_[I]), std::move(Found));
+    Waiting_.erase(Waiting_.begin() + static_cast<std::ptrdiff_t>(I));
+  }
+  return Result;
+}
+
+void Dispatcher::cancel(JobId Id) {
+  std::erase_if(Waiting_, [Id](const std::unique_ptr<Job> &One) {
+    return One->Id_ == Id;
+  });
+}
+
+void Dispatcher::begin(const Placement &Chosen, Job &One,
+                       base::TimePoint Now) {
+  UpstreamState &Upstream = *Chosen.Upstream_;
+  ++Upstream.InFlight_;
+  if (Upstream.isCold(Now))
+    Upstream.LastColdSend_ = Now;
+  One.Tried_.push_back(Upstream.Entry_.Name_);
+}
+
+void Dispatcher::finish(const Placement &Chosen, const Job &One,
+                        AttemptResult Result, base::Duration Taken,
+                        base::TimePoint Now) {
+  UpstreamState &Upstream = *Chosen.Upstream_;
+  --Upstream.InFlight_;
+  Health_.note(Upstream, Result, Now);
+  if (Result != AttemptResult::Answered)
+    return;
+  WorkTimes &Times = timesOf(One);
+  const bool KnowsObject = Chosen.Rank_ == 0;
+  const double Ratio =
+      base::toSeconds(Taken) /
+      std::max(base::toSeconds(Times.expected(KnowsObject)), 0.001);
+  Upstream.Slowness_ =
+      std::clamp(Upstream.Slowness_ * (1 - SlownessWeight) +
+                     Ratio * SlownessWeight,
+                 LeastSlowness, MostSlowness);
+  Times.learn(KnowsObject, Taken, Upstream.Slowness_);
+}
+
+Placement Dispatcher::decide(Job &One, base::TimePoint Now) {
+  const base::Duration Left = One.Limit_ - Now;
+  if (Left <= base::Duration::zero())
+    return refuse(One, base::Duration::zero(), "no-time-left");
+  // Entries change while a request waits, so the order is made each time.
+  One.Order_ = Order_.order(Table_, One.Service_, One.ObjectHash_, One.Homes_,
+                            Compared);
+  std::optional<Candidate> Best = best(One, Now, false);
+  if (!Best) {
+    One.Order_ = Order_.order(Table_, One.Service_, One.ObjectHash_,
+                              One.Homes_, SIZE_MAX);
+    Best = best(One, Now, false);
+  }
+  if (!Best)
+    Best = best(One, Now, true);
+  if (!Best)
+    return refuse(One, Left, "no-upstream");
+  const base::Duration Usable = scaled(Left, UsableTime);
+  if (Best->Foreseen_ > Usable)
+    return refuse(One, Best->Foreseen_, "too-late");
+  const bool IsNew = One.Tried_.empty() && Now == One.Arrived_;
+  if (IsNew && !Best->IsFree_ &&
+      Now + Best->Foreseen_ >
+          One.Arrived_ + scaled(One.Due_ - One.Arrived_, DueOverrun))
+    return refuse(One, Best->Foreseen_, "overload");
+  Placement Result;
+  Result.Foreseen_ = Best->Foreseen_;
+  Result.Rank_ = Best->Rank_;
+  if (!Best->IsFree_) {
+    Result.Verdict_ = PlacementVerdict::Wait;
+    Result.Reason_ = "no-slot";
+    return Result;
+  }
+  Result.Verdict_ = PlacementVerdict::Send;
+  Result.Upstream_ = Best->Upstream_;
+  Result.Reason_ = "earliest-answer";
+  return Result;
+}
+
+std::optional<Dispatcher::Candidate>
+Dispatcher::best(const Job &One, base::TimePoint Now, bool AllowEjected) {
+  std::optional<Candidate> Best;
+  for (std::size_t Rank = 0; Rank < One.Order_.size(); ++Rank) {
+    const UpstreamState &Upstream = *One.Order_[Rank];
+    if (One.wasTried(Upstream.Entry_.Name_) || isColdShut(Upstream, Now) ||
+        (!AllowEjected && Upstream.isEjected(Now)))
+      continue;
+    Candidate Next = foresee(One, Rank, Now);
+    if (!Best || Next.Foreseen_ < Best->Foreseen_)
+      Best = std::move(Next);
+  }
+  return Best;
+}
+
+Dispatcher::Candidate Dispatcher::foresee(const Job &One, std::size_t Rank,
+                                          base::TimePoint Now) {
+  Candidate Result;
+  Result.Upstream_ = One.Order_[Rank];
+  Result.Rank_ = Rank;
+  const UpstreamState &Upstream = *Result.Upstream_;
+  const base::Duration Work = scaled(timesOf(One).expected(Rank == 0),
+                                     Upstream.Slowness_);
+  const int Slots = std::max(Upstream.Entry_.Slots_, 1);
+  const int Ahead = Upstream.load() + waitingAhead(One, Upstream);
+  Result.IsFree_ = Ahead < Slots;
+  Result.Foreseen_ = Work;
+  if (!Result.IsFree_)
+    Result.Foreseen_ += scaled(Work, static_cast<double>(Ahead - Slots + 1) /
+                                         Slots);
+  // A failure costs the attempt and one more elsewhere.
+  Result.Foreseen_ += scaled(One.Objective_, 2 * Upstream.FailureShare_);
+  // A cold upstream works at half its speed.
+  if (Upstream.isCold(Now))
+    Result.Foreseen_ += Work * 2 + One.Objective_;
+  return Result;
+}
+
+bool Dispatcher::isColdShut(const UpstreamState &Upstream,
+                            base::TimePoint Now) const {
+  if (!Upstream.isCold(Now) || !Rules_)
+    return false;
+  const ServiceTerms *Service = Rules_->findService(Upstream.Entry_.Service_);
+  if (!Service)
+    return false;
+  const double Bound = Service->ColdRatePerSecond_ * Terms_.ColdOverrun_ +
+                       Terms_.ColdSlack_;
+  return !Cold_.allows(Upstream, Bound, Now);
+}
+
+// Requests that rank before this one and prefer the same upstream.
+int Dispatcher::waitingAhead(const Job &One,
+                             const UpstreamState &Upstream) const {
+  int Count = 0;
+  for (const std::unique_ptr<Job> &Other : Waiting_) {
+    if (!Other || Other->Id_ == One.Id_)
+      break;
+    if (rankTime(*Other) > rankTime(One))
+      break;
+    if (!Other->Order_.empty() && Other->Order_.front().get() == &Upstream)
+      ++Count;
+  }
+  return Count;
+}
+
+WorkTimes &Dispatcher::timesOf(const Job &One) {
+  return Times_
+      .try_emplace({One.Route_, One.Service_}, WorkTimes(One.Objective_))
+      .first->second;
+}
+
+Placement Dispatcher::refuse(const Job &One, base::Duration Foreseen,
+                             const char *Reason) {
+  Placement Result;
+  Result.Verdict_ = PlacementVerdict::Refuse;
+  Result.Foreseen_ = Foreseen;
+  Result.Reason_ = Reason;
+  // The surplus over the objective has to drain first; callers are spread over
+  // the same span again, so that they do not return together.
+  const base::Duration Surplus =
+      std::clamp(Foreseen - scaled(One.Objective_, 0.5), LeastRetryAfter,
+                 MostRetryAfter);
+  Result.RetryAfter_ = scaled(Surplus, 0.75 + 0.75 * Random_.unit());
+  return Result;
+}
+
+} // namespace ebony::traffic
--- /dev/null
+++ b/src/libs/traffic/memberreport.h
@@ -0,0 +1,36 @@
+#ifndef EBONY_TRAFFIC_MEMBERREPORT_H
+#define EBONY_TRAFFIC_MEMBERREPORT_H
+
+#include "base/name.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace ebony::traffic {
+
+/// What one VM tells the others a few times a second.
+struct MemberReport {
+  std::string Name_;
+  /// Start of the process; a later start has a higher number.
+  std::int64_t Incarnation_ = 0;
+  /// Address that callers use.
+  std::string CallerAddress_;
+  base::ZoneName Zone_;
+  base::RegionName Region_;
+  bool IsReady_ = false;
+  bool IsLeaving_ = false;
+  /// Version of the quota plan that is in force there.
+  std::int64_t QuotaPlan_ = 0;
+  /// Share of a core that the VM has, in thousandths.
+  int CorePermille_ = 0;
+  std::map<base::UpstreamName, int> InFlight_;
+  /// Requests a second that each customer asks for there.
+  std::map<base::CustomerName, double> Demand_;
+
+  friend bool operator==(const MemberReport &, const MemberReport &) = default;
+};
+
+} // namespace ebony::traffic
+
+#endif
--- /dev/null
+++ b/src/libs/traffic/membertable.cpp
@@ -0,0 +1,58 @@
+#include "traffic/membertable.h"
+
+#include <algorithm>
+
+namespace ebony::traffic {
+
+bool MemberTable::take(const MemberReport &Report, base::TimePoint Now) {
+  if (Report.Name_ == OwnName_)
+    return false;
+  const auto [Entry, IsNew] = Members_.try_emplace(Report.Name_);
+  Member &Known = Entry->second;
+  if (!IsNew && Report.Incarnation_ < Known.Report_.Incarnation_)
+    return false;
+  const bool IsChange = IsNew || !isLive(Known, Now) ||
+                        Known.Report_.Incarnation_ != Report.Incarnation_;
+  Known.Report_ = Report;
+  Known.Heard_ = Now;
+  return IsChange;
+}
+
+std::vector<const MemberReport *> MemberTable::live(base::TimePoint Now) const {
+  std::vector<const MemberReport *> Result;
+  for (const auto &[Name, One] : Members_)
+    if (isLive(One, Now))
+      Result.push_back(&One.Report_);
+  return Result;
+}
+
+std::vector<std::string> MemberTable::liveNames(base::TimePoint Now) const {
+  std::vector<std::string> Result = {OwnName_};
+  for (const MemberReport *One : live(Now))
+    Result.push_back(One->Name_);
+  std::sort(Result.begin(), Result.end());
+  return Result;
+}
+
+const MemberReport *MemberTable::find(const std::string &Name) const {
+  const auto Entry = Members_.find(Name);
+  return Entry == Members_.end() ? nullptr : &Entry->second.Report_;
+}
+
+bool MemberTable::isLive(const std::string &Name, base::TimePoint Now) const {
+  if (Name == OwnName_)
+    return true;
+  const auto Entry = Members_.find(Name);
+  return Entry != Members_.end() && isLive(Entry->second, Now);
+}
+
+std::map<base::UpstreamName, int>
+MemberTable::inFlightElsewhere(base::TimePoint Now) const {
+  std::map<base::UpstreamName, int> Result;
+  for (const MemberReport *One : live(Now))
+    for (const auto &[Name, Count] : One->InFlight_)
+      Result[Name] += Count;
+  return Result;
+}
+
+} // namespace ebony::traffic
--- /dev/null
+++ b/src/libs/traffic/membertable.h
@@ -0,0 +1,54 @@
+#ifndef EBONY_TRAFFIC_MEMBERTABLE_H
+#define EBONY_TRAFFIC_MEMBERTABLE_H
+
+#include "base/randomengine.h"
+#include "base/time.h"
+#include "traffic/memberreport.h"
+
+#include <optional>
+#include <vector>
+
+namespace ebony::traffic {
+
+/// The VMs of the fleet as their reports show them.
+class MemberTable {
+public:
+  /// A VM counts as gone when nothing was heard of it for \p GoneAfter.
+  MemberTable(std::string OwnName, base::Duration GoneAfter)
+      : OwnName_(std::move(OwnName)), GoneAfter_(GoneAfter) {}
+
+  /// Takes a report unless a later start of that VM is known. True when the
+  /// VM is new, back, or started again.
+  bool take(const MemberReport &Report, base::TimePoint Now);
+
+  /// Live VMs, in the order of their names.
+  std::vector<const MemberReport *> live(base::TimePoint Now) const;
+
+  /// Names of all live VMs and this one, sorted.
+  std::vector<std::string> liveNames(base::TimePoint Now) const;
+
+  /// The last report of a VM, however old.
+  const MemberReport *find(const std::string &Name) const;
+  bool isLive(const std::string &Name, base::TimePoint Now) const;
+
+  /// Requests in flight at each upstream from all other live VMs.
+  std::map<base::UpstreamName, int> inFlightElsewhere(base::TimePoint Now) const;
+
+private:
+  struct Member {
+    MemberReport Report_;
+    base::TimePoint Heard_{};
+  };
+
+  bool isLive(const Member &One, base::TimePoint Now) const {
+    return Now - One.Heard_ <= GoneAfter_;
+  }
+
+  std::string OwnName_;
+  base::Duration GoneAfter_;
+  std::map<std::string, Member> Members_;
+};
+
+} // namespace ebony::traffic
+
+#endif
--- /dev/null
+++ b/src/libs/traffic/quotaplan.h
@@ -0,0 +1,36 @@
+#ifndef EBONY_TRAFFIC_QUOTAPLAN_H
+#define EBONY_TRAFFIC_QUOTAPLAN_H
+
+#include "base/name.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace ebony::traffic {
+
+/// Part of a customer's rate and burst that one VM may use.
+struct QuotaShareOfVm {
+  /// In force once all holders of the plan before have taken this one up.
+  double Share_ = 0;
+  /// The lesser of this plan and the one before; in force at once.
+  double Safe_ = 0;
+
+  friend bool operator==(const QuotaShareOfVm &,
+                         const QuotaShareOfVm &) = default;
+};
+
+using QuotaShares = std::map<std::string, QuotaShareOfVm>;
+
+/// How the customers' rates are divided between the VMs; kept in the store,
+/// where each version replaces the one before under a condition.
+struct QuotaPlan {
+  std::int64_t Version_ = 0;
+  std::map<base::CustomerName, QuotaShares> Customers_;
+
+  friend bool operator==(const QuotaPlan &, const QuotaPlan &) = default;
+};
+
+} // namespace ebony::traffic
+
+#endif
--- /dev/null
+++ b/src/libs/traffic/retrybudget.h
@@ -0,0 +1,50 @@
+#ifndef EBONY_TRAFFIC_RETRYBUDGET_H
+#define EBONY_TRAFFIC_RETRYBUDGET_H
+
+#include "base/name.h"
+#include "base/time.h"
+
+#include <cstddef>
+#include <deque>
+#include <map>
+
+namespace ebony::traffic {
+
+/// Bounds the requests that are sent to an upstream once more, by service, so
+/// that the sum over all VMs stays below ratio x requests + slack in each
+/// window.
+///
+/// Load pattern: many upstreams fail at once and every request could be
+/// repeated.
+class RetryBudget {
+public:
+  /// \p Ratio and \p Slack are the fleet's; this VM uses the ratio on its own
+  /// requests and its part of the slack.
+  RetryBudget(double Ratio, double Slack, base::Duration Window)
+      : Ratio_(Ratio), Slack_(Slack), Window_(Window) {}
+
+  void setVmCount(std::size_t Count) { VmCount_ = Count ? Count : 1; }
+
+  void noteRequest(const base::ServiceName &Service, base::TimePoint Now);
+
+  /// Takes one repeat out of the budget; false when it is used up.
+  bool take(const base::ServiceName &Service, base::TimePoint Now);
+
+private:
+  struct Counts {
+    std::deque<base::TimePoint> Requests_;
+    std::deque<base::TimePoint> Repeats_;
+  };
+
+  void forget(std::deque<base::TimePoint> &Times, base::TimePoint Now) const;
+
+  double Ratio_;
+  double Slack_;
+  base::Duration Window_;
+  std::size_t VmCount_ = 1;
+  std::map<base::ServiceName, Counts> Counts_;
+};
+
+} // namespace ebony::traffic
+
+#endif
--- /dev/null
+++ b/src/libs/traffic/serviceterms.h
@@ -0,0 +1,22 @@
+#ifndef EBONY_TRAFFIC_SERVICETERMS_H
+#define EBONY_TRAFFIC_SERVICETERMS_H
+
+#include "base/name.h"
+#include "base/time.h"
+
+namespace ebony::traffic {
+
+/// What the operators say of one service.
+struct ServiceTerms {
+  base::ServiceName Name_;
+  /// Time for which an upstream stays cold after its start.
+  base::Duration ColdSpan_{};
+  /// Requests a second that a cold upstream tolerates; 0 means no bound.
+  double ColdRatePerSecond_ = 0;
+
+  friend bool operator==(const ServiceTerms &, const ServiceTerms &) = default;
+};
+
+} // namespace ebony::traffic
+
+#endif
--- /dev/null
+++ b/src/libs/traffic/splitchooser.cpp
@@ -0,0 +1,30 @@
+#include "traffic/splitchooser.h"
+
+namespace ebony::traffic {
+
+base::ServiceName SplitChooser::choose(std::int64_t Version,
+                                       const RouteTerms &Route) {
+  if (Route.Services_.size() == 1)
+    return Route.Services_.front().Service_;
+  if (Version != Version_) {
+    Credits_.clear();
+    Version_ = Version;
+  }
+  std::map<base::ServiceName, double> &Credits =
+      Credits_[Route.Name_ + Route.Prefix_];
+  double Total = 0;
+  const ServiceShare *Best = nullptr;
+  for (const ServiceShare &One : Route.Services_) {
+    Total += One.Weight_;
+    double &Credit = Credits[One.Service_];
+    Credit += One.Weight_;
+    if (One.Weight_ > 0 && (!Best || Credit > Credits[Best->Service_]))
+      Best = &One;
+  }
+  if (!Best)
+    return Route.Services_.front().Service_;
+  Credits[Best->Service_] -= Total;
+  return Best->Service_;
+}
+
+} // namespace ebony::traffic
--- /dev/null
+++ b/src/libs/traffic/worktimes.h
@@ -0,0 +1,29 @@
+#ifndef EBONY_TRAFFIC_WORKTIMES_H
+#define EBONY_TRAFFIC_WORKTIMES_H
+
+#include "base/time.h"
+
+namespace ebony::traffic {
+
+/// Learned times that a route's requests take at an upstream which knows the
+/// object and at one which does not.
+class WorkTimes {
+public:
+  /// \p Objective is the route's, from which the first guess comes.
+  explicit WorkTimes(base::Duration Objective);
+
+  base::Duration expected(bool KnowsObject) const {
+    return KnowsObject ? Warm_ : Fresh_;
+  }
+
+  /// Learns from an answer; \p Slowness is the upstream's known factor.
+  void learn(bool KnowsObject, base::Duration Taken, double Slowness);
+
+private:
+  base::Duration Warm_;
+  base::Duration Fresh_;
+};
+
+} // namespace ebony::traffic
+
+#endif
--- /dev/null
+++ b/src/libs/vm/headerfields.cpp
@@ -0,0 +1,77 @@
+#include "vm/headerfields.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace ebony::vm {
+
+namespace {
+
+namespace beast = boost::beast;
+
+constexpr std::array<std::string_view, 9> HopFields = {
+    "Connection", "Keep-Alive",        "Proxy-Authenticate",
+    "Proxy-Connection", "Proxy-Authorization", "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade"};
+
+beast::string_view toBeast(std::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+std::string_view trimmed(std::string_view Text) {
+  while (!Text.empty() && Text.front() == ' ')
+    Text.remove_prefix(1);
+  while (!Text.empty() && Text.back() == ' ')
+    Text.remove_suffix(1);
+  return Text;
+}
+
+} // namespace
+
+std::string_view valueOf(const Fields &From, std::string_view Name) {
+  const auto Value = From[toBeast(Name)];
+  return {Value.data(), Value.size()};
+}
+
+std::string_view cookieOf(const Fields &From, std::string_view Name) {
+  const auto [First, Last] = From.equal_range("Cookie");
+  for (auto One = First; One != Last; ++One) {
+    std::string_view Rest(One->value().data(), One->value().size());
+    while (!Rest.empty()) {
+      const std::size_t End = std::min(Rest.find(';'), Rest.size());
+      const std::string_view Pair = trimmed(Rest.substr(0, End));
+      Rest.remove_prefix(std::min(End + 1, Rest.size()));
+      const std::size_t Equals = Pair.find('=');
+      if (Equals != std::string_view::npos && Pair.substr(0, Equals) == Name)
+        return Pair.substr(Equals + 1);
+    }
+  }
+  return {};
+}
+
+std::optional<std::int64_t> wholeNumber(std::string_view Text) {
+  std::int64_t Value = 0;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Error != std::errc() || End != Text.data() + Text.size() || Value < 0)
+    return std::nullopt;
+  return Value;
+}
+
+bool sameName(std::string_view A, std::string_view B) {
+  return beast::iequals(toBeast(A), toBeast(B));
+}
+
+bool isHopField(std::string_view Name, std::string_view Connection) {
+  if (std::any_of(HopFields.begin(), HopFields.end(),
+                  [&](std::string_view Hop) { return sameName(Hop, Name); }))
+    return true;
+  return !Connection.empty() &&
+         beast::http::token_list(toBeast(Connection)).exists(toBeast(Name));
+}
+
+} // namespace ebony::vm
--- /dev/null
+++ b/src/libs/vm/knowledge.cpp
@@ -0,0 +1,171 @@
+#include "vm/knowledge.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <algorithm>
+
+namespace ebony::vm {
+
+namespace {
+
+using telemetry::EventLine;
+
+// The operators' table changes rarely; an answer at least this often proves
+// that no key was withdrawn, well within the shortest limit for that.
+constexpr FollowPace OperatorPace{std::chrono::milliseconds(1200),
+                                  std::chrono::milliseconds(100)};
+
+// Upstreams write their entries all the time; a question held open would be
+// answered at once, so the pace is set here.
+constexpr FollowPace UpstreamPace{std::chrono::milliseconds(500),
+                                  std::chrono::milliseconds(700)};
+
+} // namespace
+
+Knowledge::Knowledge(VmState &State)
+    : State_(State),
+      Operators_(State, State.Platform_.OperatorTable_, OperatorPace,
+                 {[this](const auto &Rows) { replaceOperatorRows(Rows); },
+                  [this](const auto &Rows) { changeOperatorRows(Rows); },
+                  [this](base::TimePoint Asked) {
+                    State_.KeyTrust_.confirm(Asked);
+                  },
+                  nullptr}),
+      Upstreams_(State, State.Platform_.UpstreamTable_, UpstreamPace,
+                 {[this](const auto &Rows) { replaceUpstreams(Rows); },
+                  [this](const auto &Rows) { changeUpstreams(Rows); }, nullptr,
+                  [this] {
+                    State_.Upstreams_.noteStoreReturn(State_.now());
+                  }}) {}
+
+void Knowledge::start() {
+  using boost::asio::co_spawn;
+  using boost::asio::detached;
+  co_spawn(State_.Context_, Operators_.run(), detached);
+  co_spawn(State_.Context_, Upstreams_.run(), detached);
+}
+
+void Knowledge::replaceOperatorRows(const std::vector<store::Row> &Rows) {
+  Evacuated_.clear();
+  changeOperatorRows(Rows);
+  applyEvacuations();
+}
+
+void Knowledge::changeOperatorRows(const std::vector<store::Row> &Rows) {
+  const std::string &Prefix = State_.Platform_.EvacuationPrefix_;
+  const std::set<base::ZoneName> Before = Evacuated_;
+  for (const store::Row &Row : Rows) {
+    if (Row.Key_ == State_.Platform_.ConfigurationKey_ && !Row.IsRemoved_)
+      takeConfiguration(Row);
+    if (!Row.Key_.starts_with(Prefix))
+      continue;
+    const base::ZoneName Zone(Row.Key_.substr(Prefix.size()));
+    if (Row.IsRemoved_)
+      Evacuated_.erase(Zone);
+    else
+      Evacuated_.insert(Zone);
+  }
+  if (Evacuated_ != Before)
+    applyEvacuations();
+}
+
+void Knowledge::takeConfiguration(const store::Row &Row) {
+  const auto Decoded = State_.Platform_.DecodeConfiguration_(Row.Value_);
+  if (Decoded.has_error()) {
+    State_.log(EventLine("configuration-malformed")
+                   .add("row_version", Row.Version_)
+                   .add("finding", base::toText(Decoded.error())));
+    return;
+  }
+  const traffic::TrafficRulesPtr &Rules = Decoded.value();
+  if (State_.Rules_ && Rules->version() <= State_.Rules_->version())
+    return;
+  State_.Rules_ = Rules;
+  State_.Dispatcher_.setRules(Rules);
+  State_.Quota_.setRules(*Rules, State_.now());
+  State_.Metrics_.ConfigurationVersion_.set(Rules->version());
+  State_.log(EventLine("configuration-in-force")
+                 .add("configuration", Rules->version())
+                 .add("row_version", Row.Version_));
+}
+
+void Knowledge::applyEvacuations() {
+  State_.Upstreams_.setEvacuated(Evacuated_, longestColdSpan(), State_.now());
+  EventLine Line("evacuated-zones");
+  std::string Zones;
+  for (const base::ZoneName &Zone : Evacuated_)
+    Zones += (Zones.empty() ? "" : ",") + Zone.text();
+  State_.log(Line.add("zones", Zones));
+}
+
+base::Duration Knowledge::longestColdSpan() const {
+  base::Duration Longest{};
+  if (!State_.Rules_)
+    return Longest;
+  for (const auto &[Name, Upstream] : State_.Upstreams_.all()) {
+    const traffic::ServiceTerms *Service =
+        State_.Rules_->findService(Upstream->Entry_.Service_);
+    if (Service)
+      Longest = std::max(Longest, Service->ColdSpan_);
+  }
+  return Longest;
+}
+
+void Knowledge::replaceUpstreams(const std::vector<store::Row> &Rows) {
+  std::set<base::UpstreamName> Listed;
+  for (const store::Row &Row : Rows) {
+    Listed.insert(base::UpstreamName(Row.Key_));
+    putUpstream(Row);
+  }
+  State_.Upstreams_.retainOnly(Listed, State_.now());
+  State_.KnowsUpstreams_ = true;
+  State_.Metrics_.Upstreams_.set(
+      static_cast<std::int64_t>(State_.Upstreams_.all().size()));
+}
+
+void Knowledge::changeUpstreams(const std::vector<store::Row> &Rows) {
+  for (const store::Row &Row : Rows) {
+    if (!Row.IsRemoved_) {
+      putUpstream(Row);
+      continue;
+    }
+    const base::UpstreamName Name(Row.Key_);
+    State_.Upstreams_.remove(Name, State_.now());
+    if (!State_.Upstreams_.find(Name))
+      State_.Links_.drop(Name);
+    State_.log(EventLine("upstream-gone")
+                   .add("upstream", Row.Key_)
+                   .add("row_version", Row.Version_));
+  }
+  State_.Metrics_.Upstreams_.set(
+      static_cast<std::int64_t>(State_.Upstreams_.all().size()));
+}
+
+void Knowledge::putUpstream(const store::Row &Row) {
+  const auto Entry = State_.Platform_.DecodeUpstream_(Row);
+  if (!Entry) {
+    State_.log(EventLine("upstream-entry-malformed")
+                   .add("upstream", Row.Key_)
+                   .add("row_version", Row.Version_));
+    // What it says now is unknown, so nothing is sent there.
+    State_.Upstreams_.remove(base::UpstreamName(Row.Key_), State_.now());
+    return;
+  }
+  const traffic::UpstreamPtr Known = State_.Upstreams_.find(Entry->Name_);
+  const bool WasDraining = Known && Known->Entry_.IsDraining_;
+  if (!State_.Upstreams_.put(*Entry, State_.now()))
+    return;
+  if (Known && WasDraining == Entry->IsDraining_ &&
+      Known->Entry_.StartedUnixMs_ == Entry->StartedUnixMs_)
+    return;
+  State_.log(EventLine("upstream-listed")
+                 .add("upstream", Row.Key_)
+                 .add("service", Entry->Service_.text())
+                 .add("zone", Entry->Zone_.text())
+                 .add("state", Entry->IsDraining_ ? "draining" : "ready")
+                 .add("cold_ms", Entry->ColdRemaining_.count() / 1000)
+                 .add("row_version", Row.Version_));
+}
+
+} // namespace ebony::vm
--- /dev/null
+++ b/src/libs/vm/requestoutcome.h
@@ -0,0 +1,31 @@
+#ifndef EBONY_VM_REQUESTOUTCOME_H
+#define EBONY_VM_REQUESTOUTCOME_H
+
+#include "base/time.h"
+
+#include <string>
+
+namespace ebony::vm {
+
+/// What became of one request, for its log line.
+struct RequestOutcome {
+  base::TimePoint Started_{};
+  std::string Route_;
+  std::string Service_;
+  /// Upstream of the last attempt.
+  std::string Upstream_;
+  std::size_t Rank_ = 0;
+  base::Duration Foreseen_{};
+  base::Duration Waited_{};
+  unsigned Status_ = 0;
+  /// "served", "refused", "failed" or "abandoned".
+  std::string Outcome_;
+  std::string Reason_;
+
+  friend bool operator==(const RequestOutcome &,
+                         const RequestOutcome &) = default;
+};
+
+} // namespace ebony::vm
+
+#endif
--- /dev/null
+++ b/src/libs/vm/upstreamlink.h
@@ -0,0 +1,39 @@
+#ifndef EBONY_VM_UPSTREAMLINK_H
+#define EBONY_VM_UPSTREAMLINK_H
+
+#include "base/time.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+
+namespace ebony::vm {
+
+/// One connection to an upstream, used by one request at a time.
+class UpstreamLink {
+public:
+  explicit UpstreamLink(boost::asio::io_context &Context) : Socket_(Context) {}
+
+  boost::asio::ip::tcp::socket &socket() { return Socket_; }
+  boost::beast::flat_buffer &buffer() { return Buffer_; }
+
+  /// Closes the connection; what waits on it ends with an error.
+  void close() {
+    boost::system::error_code Ignored; // Nothing is left to be done then.
+    Socket_.close(Ignored);
+  }
+
+  bool IsIdle_ = false;
+  bool WasUsed_ = false;
+  base::TimePoint IdleSince_{};
+  /// How long the upstream keeps the connection when nothing is sent.
+  base::Duration KeepAlive_{};
+
+private:
+  boost::asio::ip::tcp::socket Socket_;
+  boost::beast::flat_buffer Buffer_;
+};
+
+} // namespace ebony::vm
+
+#endif
--- /dev/null
+++ b/src/libs/vm/vmmetrics.cpp
@@ -0,0 +1,46 @@
+#include "vm/vmmetrics.h"
+
+namespace ebony::vm {
+
+namespace {
+
+constexpr auto Gauge = telemetry::CounterKind::Gauge;
+
+} // namespace
+
+VmMetrics::VmMetrics()
+    : Latency_(Registry_.latency("ebony_request_seconds",
+                                 "Time from a request to its answer.")),
+      Wait_(Registry_.latency("ebony_wait_seconds",
+                              "Time for which requests waited for a slot.")),
+      Waiting_(Registry_.counter("ebony_waiting_requests",
+                                 "Requests that wait for a slot.", "", Gauge)),
+      Repeats_(Registry_.counter("ebony_repeats_total",
+                                 "Requests sent to one more upstream.")),
+      StoreFailures_(Registry_.counter("ebony_store_failures_total",
+                                       "Calls to the store that failed.")),
+      ConfigurationVersion_(Registry_.counter("ebony_configuration_version",
+                                              "Configuration in force.", "",
+                                              Gauge)),
+      StoreAgeMs_(Registry_.counter(
+          "ebony_configuration_age_milliseconds",
+          "Age of the last proof that the configuration is the newest.", "",
+          Gauge)),
+      LiveVms_(Registry_.counter("ebony_live_vms",
+                                 "Entry VMs heard of, this one included.", "",
+                                 Gauge)),
+      Upstreams_(Registry_.counter("ebony_upstreams", "Upstreams listed.", "",
+                                   Gauge)),
+      DroppedLines_(Registry_.counter("ebony_log_lines_dropped",
+                                      "Log lines that found no reader.", "",
+                                      Gauge)) {}
+
+void VmMetrics::countRequest(const std::string &Outcome,
+                             const std::string &Reason) {
+  Registry_
+      .counter("ebony_requests_total", "Requests by outcome and reason.",
+               "outcome=\"" + Outcome + "\",reason=\"" + Reason + "\"")
+      .add();
+}
+
+} // namespace ebony::vm
--- /dev/null
+++ b/src/libs/vm/vmmetrics.h
@@ -0,0 +1,38 @@
+#ifndef EBONY_VM_VMMETRICS_H
+#define EBONY_VM_VMMETRICS_H
+
+#include "telemetry/metricsregistry.h"
+
+#include <string>
+
+namespace ebony::vm {
+
+/// Counters and histograms of one VM.
+class VmMetrics {
+public:
+  VmMetrics();
+
+  /// Counts a finished request by its outcome and the reason for it.
+  void countRequest(const std::string &Outcome, const std::string &Reason);
+
+  telemetry::MetricsRegistry &registry() { return Registry_; }
+
+private:
+  telemetry::MetricsRegistry Registry_;
+
+public:
+  telemetry::LatencyHistogram &Latency_;
+  telemetry::LatencyHistogram &Wait_;
+  telemetry::Counter &Waiting_;
+  telemetry::Counter &Repeats_;
+  telemetry::Counter &StoreFailures_;
+  telemetry::Counter &ConfigurationVersion_;
+  telemetry::Counter &StoreAgeMs_;
+  telemetry::Counter &LiveVms_;
+  telemetry::Counter &Upstreams_;
+  telemetry::Counter &DroppedLines_;
+};
+
+} // namespace ebony::vm
+
+#endif
--- /dev/null
+++ b/src/libs/vm/vmsettings.cpp
@@ -0,0 +1,67 @@
+#include "vm/vmsettings.h"
+
+#include "json/objectreader.h"
+#include "settings/settingssource.h"
+
+#include <Poco/JSON/Array.h>
+
+namespace ebony::vm {
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr std::int64_t MaxPort = 65'535;
+constexpr double LeastCoreShare = 0.001;
+constexpr double MostCoreShare = 1024;
+
+tcp::endpoint endpointOf(json::ObjectReader &Reader, const char *Member) {
+  const std::string Text = Reader.text(Member);
+  const std::size_t Colon = Text.rfind(':');
+  boost::system::error_code Error;
+  const auto Address =
+      boost::asio::ip::make_address(Text.substr(0, Colon), Error);
+  const int Port =
+      Colon == std::string::npos ? 0 : std::atoi(Text.c_str() + Colon + 1);
+  if (Error || Port <= 0 || Port > MaxPort) {
+    Reader.report(Member, "Write an IP number and a port, as in 10.0.0.1:80.");
+    return {};
+  }
+  return {Address, static_cast<std::uint16_t>(Port)};
+}
+
+} // namespace
+
+base::Checked<VmSettings> readVmSettings(const std::string &Path) {
+  BOOST_OUTCOME_TRY(Object, settings::loadSettings(Path, {}));
+  base::Findings Report;
+  json::ObjectReader Reader(Path, "$", Object, Report);
+  VmSettings Result;
+  Result.Name_ = Reader.text("name");
+  Result.Zone_ = base::ZoneName(Reader.text("zone"));
+  Result.Region_ = base::RegionName(Reader.text("region"));
+  Result.Callers_ = endpointOf(Reader, "callers");
+  Result.Readiness_ = endpointOf(Reader, "readiness");
+  Result.Directory_ = endpointOf(Reader, "directory");
+  Result.Metrics_ = endpointOf(Reader, "metrics");
+  Result.Store_ = endpointOf(Reader, "store");
+  Result.PeerPort_ =
+      static_cast<std::uint16_t>(Reader.number("peerPort", 1, MaxPort));
+  Result.CoreShare_ =
+      Reader.realOr("coreShare", 1, LeastCoreShare, MostCoreShare);
+  const Poco::JSON::Object::Ptr Zones = Object->getObject("zones");
+  if (!Zones)
+    Reader.report("zones", "Add an object that gives each zone its region.");
+  else
+    for (const auto &[Zone, Region] : *Zones)
+      Result.Zones_[base::ZoneName(Zone)] =
+          base::RegionName(Region.convert<std::string>());
+  const Poco::JSON::Array::Ptr Bounds = Object->getArray("bounds");
+  for (unsigned I = 0; Bounds && I < Bounds->size(); ++I)
+    Result.Bounds_.push_back(Bounds->getElement<std::string>(I));
+  if (!Report.empty())
+    return Report;
+  return Result;
+}
+
+} // namespace ebony::vm
