Keep a caller's session alive from the start of its coroutine

Cause: a coroutine starts later than it is made; the session was freed before its first line ran. Beast's body limit of none also failed answers at random; a number is given now.

--- a/src/libs/vm/callersession.cpp
+++ b/src/libs/vm/callersession.cpp
@@ -108,8 +108,11 @@
   Socket_.close(Ignored);
 }
 
-awaitable<void> CallerSession::run() {
-  const auto Self = shared_from_this();
+awaitable<void> CallerSession::run(std::shared_ptr<CallerSession> Self) {
+  co_await Self->serveAll();
+}
+
+awaitable<void> CallerSession::serveAll() {
   while (KeepsOpen_) {
     IsIdle_ = true;
     const bool HasHead = co_await readHead();
--- a/src/libs/vm/callersession.h
+++ b/src/libs/vm/callersession.h
@@ -21,7 +21,9 @@
                 boost::asio::ip::tcp::socket Socket);
   ~CallerSession();
 
-  asynckit::awaitable<void> run();
+  /// Serves the connection until it ends. A coroutine starts later than it is
+  /// made, so it has to hold the session itself.
+  static asynckit::awaitable<void> run(std::shared_ptr<CallerSession> Self);
 
   bool isIdle() const { return IsIdle_; }
   void close();
@@ -31,6 +33,7 @@
       boost::beast::http::request_parser<boost::beast::http::buffer_body>;
   using Fields = boost::beast::http::fields;
 
+  asynckit::awaitable<void> serveAll();
   asynckit::awaitable<bool> readHead();
   asynckit::awaitable<bool> readBody();
   asynckit::awaitable<bool> readPiece(std::string &Piece);
--- a/src/libs/vm/exchange.cpp
+++ b/src/libs/vm/exchange.cpp
@@ -35,6 +35,9 @@
 // Largest head of an answer.
 constexpr std::uint32_t MostHeadBytes = 32 * 1024;
 
+// Answers are streamed, so their length needs no bound.
+constexpr std::uint64_t MostBodyBytes = UINT64_MAX;
+
 // Stray answers that are read past before the connection is given up.
 constexpr int MostStrayAnswers = 3;
 
@@ -223,7 +226,7 @@
   for (int Stray = 0; Stray <= MostStrayAnswers;) {
     Parser_.emplace();
     Parser_->header_limit(MostHeadBytes);
-    Parser_->body_limit(boost::none);
+    Parser_->body_limit(MostBodyBytes);
     if (Request.Method_ == "HEAD")
       Parser_->skip(true);
     error_code Error;
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -130,7 +130,7 @@
     const auto Session =
         std::make_shared<CallerSession>(State_, Desk_, std::move(Socket));
     Sessions_.push_back(*Session);
-    asio::co_spawn(Context_, Session->run(), asio::detached);
+    asio::co_spawn(Context_, CallerSession::run(Session), asio::detached);
   }
 }
 
