--- a/src/libs/asynckit/deadline.h
+++ b/src/libs/asynckit/deadline.h
@@ -12,8 +12,9 @@
 class DeadlineList;
 
 /// Calls a function once when its time has come, unless it is disarmed first.
-class Deadline : public boost::intrusive::list_base_hook<
-                     boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+class Deadline
+    : public boost::intrusive::list_base_hook<
+          boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
 public:
   explicit Deadline(DeadlineList &Owner) : Owner_(Owner) {}
 
--- a/src/libs/telemetry/eventlog.cpp
+++ b/src/libs/telemetry/eventlog.cpp
@@ -34,10 +34,9 @@
     ++Dropped_;
     return;
   }
-  const auto Millis =
-      std::chrono::duration_cast<std::chrono::milliseconds>(
-          Now.time_since_epoch())
-          .count();
+  const auto Millis = std::chrono::duration_cast<std::chrono::milliseconds>(
+                          Now.time_since_epoch())
+                          .count();
   Pending_ += "at_ms=";
   Pending_ += std::to_string(Millis);
   Pending_ += " vm=";
--- a/src/libs/traffic/dispatcher.cpp
+++ b/src/libs/traffic/dispatcher.cpp
@@ -84,8 +84,7 @@
   });
 }
 
-void Dispatcher::begin(const Placement &Chosen, Job &One,
-                       base::TimePoint Now) {
+void Dispatcher::begin(const Placement &Chosen, Job &One, base::TimePoint Now) {
   UpstreamState &Upstream = *Chosen.Upstream_;
   ++Upstream.InFlight_;
   if (Upstream.isCold(Now))
@@ -106,10 +105,9 @@
   const double Ratio =
       base::toSeconds(Taken) /
       std::max(base::toSeconds(Times.expected(KnowsObject)), 0.001);
-  Upstream.Slowness_ =
-      std::clamp(Upstream.Slowness_ * (1 - SlownessWeight) +
-                     Ratio * SlownessWeight,
-                 LeastSlowness, MostSlowness);
+  Upstream.Slowness_ = std::clamp(Upstream.Slowness_ * (1 - SlownessWeight) +
+                                      Ratio * SlownessWeight,
+                                  LeastSlowness, MostSlowness);
   Times.learn(KnowsObject, Taken, Upstream.Slowness_);
 }
 
@@ -118,12 +116,12 @@
   if (Left <= base::Duration::zero())
     return refuse(One, base::Duration::zero(), "no-time-left");
   // Entries change while a request waits, so the order is made each time.
-  One.Order_ = Order_.order(Table_, One.Service_, One.ObjectHash_, One.Homes_,
-                            Compared);
+  One.Order_ =
+      Order_.order(Table_, One.Service_, One.ObjectHash_, One.Homes_, Compared);
   std::optional<Candidate> Best = best(One, Now, false);
   if (!Best) {
-    One.Order_ = Order_.order(Table_, One.Service_, One.ObjectHash_,
-                              One.Homes_, SIZE_MAX);
+    One.Order_ = Order_.order(Table_, One.Service_, One.ObjectHash_, One.Homes_,
+                              SIZE_MAX);
     Best = best(One, Now, false);
   }
   if (!Best)
@@ -173,15 +171,15 @@
   Result.Upstream_ = One.Order_[Rank];
   Result.Rank_ = Rank;
   const UpstreamState &Upstream = *Result.Upstream_;
-  const base::Duration Work = scaled(timesOf(One).expected(Rank == 0),
-                                     Upstream.Slowness_);
+  const base::Duration Work =
+      scaled(timesOf(One).expected(Rank == 0), Upstream.Slowness_);
   const int Slots = std::max(Upstream.Entry_.Slots_, 1);
   const int Ahead = Upstream.load() + waitingAhead(One, Upstream);
   Result.IsFree_ = Ahead < Slots;
   Result.Foreseen_ = Work;
   if (!Result.IsFree_)
-    Result.Foreseen_ += scaled(Work, static_cast<double>(Ahead - Slots + 1) /
-                                         Slots);
+    Result.Foreseen_ +=
+        scaled(Work, static_cast<double>(Ahead - Slots + 1) / Slots);
   // A failure costs the attempt and one more elsewhere.
   Result.Foreseen_ += scaled(One.Objective_, 2 * Upstream.FailureShare_);
   // A cold upstream works at half its speed.
@@ -197,8 +195,8 @@
   const ServiceTerms *Service = Rules_->findService(Upstream.Entry_.Service_);
   if (!Service)
     return false;
-  const double Bound = Service->ColdRatePerSecond_ * Terms_.ColdOverrun_ +
-                       Terms_.ColdSlack_;
+  const double Bound =
+      Service->ColdRatePerSecond_ * Terms_.ColdOverrun_ + Terms_.ColdSlack_;
   return !Cold_.allows(Upstream, Bound, Now);
 }
 
@@ -231,9 +229,8 @@
   Result.Reason_ = Reason;
   // The surplus over the objective has to drain first; callers are spread over
   // the same span again, so that they do not return together.
-  const base::Duration Surplus =
-      std::clamp(Foreseen - scaled(One.Objective_, 0.5), LeastRetryAfter,
-                 MostRetryAfter);
+  const base::Duration Surplus = std::clamp(
+      Foreseen - scaled(One.Objective_, 0.5), LeastRetryAfter, MostRetryAfter);
   Result.RetryAfter_ = scaled(Surplus, 0.75 + 0.75 * Random_.unit());
   return Result;
 }
--- a/src/libs/traffic/dispatcher.h
+++ b/src/libs/traffic/dispatcher.h
@@ -27,7 +27,8 @@
   /// Round trip to an upstream in another region.
   base::Duration FarRoundTrip_ = std::chrono::milliseconds(50);
 
-  friend bool operator==(const DispatchTerms &, const DispatchTerms &) = default;
+  friend bool operator==(const DispatchTerms &,
+                         const DispatchTerms &) = default;
 };
 
 /// A request whose turn came, or whose wait is over, and what became of it.
@@ -86,8 +87,7 @@
   bool isColdShut(const UpstreamState &Upstream, base::TimePoint Now) const;
   int waitingAhead(const Job &One, const UpstreamState &Upstream) const;
   WorkTimes &timesOf(const Job &One);
-  Placement refuse(const Job &One, base::Duration Foreseen,
-                   const char *Reason);
+  Placement refuse(const Job &One, base::Duration Foreseen, const char *Reason);
 
   UpstreamTable &Table_;
   PlacementOrder Order_;
--- a/src/libs/traffic/entrydirectory.cpp
+++ b/src/libs/traffic/entrydirectory.cpp
@@ -5,9 +5,10 @@
 
 namespace ebony::traffic {
 
-std::vector<std::string>
-EntryDirectory::resolve(const base::RegionName &Region, const MemberReport &Own,
-                        const MemberTable &Members, base::TimePoint Now) {
+std::vector<std::string> EntryDirectory::resolve(const base::RegionName &Region,
+                                                 const MemberReport &Own,
+                                                 const MemberTable &Members,
+                                                 base::TimePoint Now) {
   std::vector<const MemberReport *> All = Members.live(Now);
   All.push_back(&Own);
   std::erase_if(All, [](const MemberReport *One) {
--- a/src/libs/traffic/membertable.h
+++ b/src/libs/traffic/membertable.h
@@ -32,7 +32,8 @@
   bool isLive(const std::string &Name, base::TimePoint Now) const;
 
   /// Requests in flight at each upstream from all other live VMs.
-  std::map<base::UpstreamName, int> inFlightElsewhere(base::TimePoint Now) const;
+  std::map<base::UpstreamName, int>
+  inFlightElsewhere(base::TimePoint Now) const;
 
 private:
   struct Member {
--- a/src/libs/traffic/placementorder.cpp
+++ b/src/libs/traffic/placementorder.cpp
@@ -70,20 +70,18 @@
   return Own_;
 }
 
-std::vector<UpstreamPtr>
-PlacementOrder::order(const UpstreamTable &Table,
-                      const base::ServiceName &Service,
-                      std::uint64_t ObjectHash,
-                      const std::vector<base::RegionName> &Homes,
-                      std::size_t Most) const {
+std::vector<UpstreamPtr> PlacementOrder::order(
+    const UpstreamTable &Table, const base::ServiceName &Service,
+    std::uint64_t ObjectHash, const std::vector<base::RegionName> &Homes,
+    std::size_t Most) const {
   const base::RegionName First = firstRegion(Table.slots(Service), ObjectHash);
   std::vector<Ranked> All;
   for (const UpstreamPtr &One : Table.usable(Service)) {
     if (!isHome(Homes, One->Region_))
       continue;
     const double Unit = unitOf(base::mixBits(One->NameHash_ ^ ObjectHash));
-    All.push_back({One->Entry_.Slots_ / -std::log(Unit), One->Region_ == First,
-                   &One});
+    All.push_back(
+        {One->Entry_.Slots_ / -std::log(Unit), One->Region_ == First, &One});
   }
   const std::size_t Count = std::min(Most, All.size());
   std::partial_sort(
--- a/src/libs/traffic/quotagate.cpp
+++ b/src/libs/traffic/quotagate.cpp
@@ -103,8 +103,7 @@
 
 void QuotaGate::refill(Bucket &One, base::TimePoint Now) const {
   // A bucket holds at least one token, so that a small share is usable.
-  const double Most =
-      std::max(1.0, One.Burst_ * One.Share_ * Overuse_);
+  const double Most = std::max(1.0, One.Burst_ * One.Share_ * Overuse_);
   const double Gained =
       base::toSeconds(Now - One.Filled_) * One.Rate_ * One.Share_ * Overuse_;
   One.Tokens_ = std::min(One.Tokens_ + std::max(Gained, 0.0), Most);
--- a/src/libs/traffic/quotaplanner.cpp
+++ b/src/libs/traffic/quotaplanner.cpp
@@ -77,8 +77,8 @@
       const double Share = EvenPart / static_cast<double>(Vms.size()) +
                            (1 - EvenPart) * Demand / Total;
       const double Had = shareOf(Before, One->Name_);
-      After[One->Name_] = {Share, Before.empty() ? Share
-                                                 : std::min(Share, Had)};
+      After[One->Name_] = {Share,
+                           Before.empty() ? Share : std::min(Share, Had)};
       if (Had <= 0 || (Demand > Pressed * Had * Customer.RatePerSecond_ &&
                        Share > LeastGain * Had))
         IsWorthwhile = true;
--- a/src/libs/traffic/upstreamhealth.cpp
+++ b/src/libs/traffic/upstreamhealth.cpp
@@ -47,8 +47,8 @@
   const Judgement Found = judge(Result);
   if (Found.IsIgnored_)
     return false;
-  Upstream.FailureShare_ = Upstream.FailureShare_ * (1 - Weight) +
-                           (Found.IsFailure_ ? Weight : 0.0);
+  Upstream.FailureShare_ =
+      Upstream.FailureShare_ * (1 - Weight) + (Found.IsFailure_ ? Weight : 0.0);
   if (!Found.IsFailure_) {
     Upstream.FailuresInRow_ = 0;
     Upstream.Ejection_ = base::Duration::zero();
--- a/src/libs/traffic/upstreamstate.h
+++ b/src/libs/traffic/upstreamstate.h
@@ -11,7 +11,8 @@
 /// One upstream with what this VM knows of it. Requests that run there keep
 /// the object after the upstream has left the table.
 struct UpstreamState
-    : boost::intrusive_ref_counter<UpstreamState, boost::thread_unsafe_counter> {
+    : boost::intrusive_ref_counter<UpstreamState,
+                                   boost::thread_unsafe_counter> {
   UpstreamEntry Entry_;
   base::RegionName Region_;
   std::uint64_t NameHash_ = 0;
--- a/src/libs/traffic/upstreamtable.cpp
+++ b/src/libs/traffic/upstreamtable.cpp
@@ -87,7 +87,8 @@
   return Entry == Groups_.end() ? None : Entry->second.Usable_;
 }
 
-const RegionSlots &UpstreamTable::slots(const base::ServiceName &Service) const {
+const RegionSlots &
+UpstreamTable::slots(const base::ServiceName &Service) const {
   static const RegionSlots None;
   const auto Entry = Groups_.find(Service);
   return Entry == Groups_.end() ? None : Entry->second.Slots_;
--- a/src/libs/traffic/upstreamtable.h
+++ b/src/libs/traffic/upstreamtable.h
@@ -33,7 +33,9 @@
                   base::TimePoint Now);
 
   /// Notes that the store answers again after it was away.
-  void noteStoreReturn(base::TimePoint Now) { GraceUntil_ = Now + ReturnGrace_; }
+  void noteStoreReturn(base::TimePoint Now) {
+    GraceUntil_ = Now + ReturnGrace_;
+  }
 
   /// Drops entries whose grace period has ended.
   void expire(base::TimePoint Now);
@@ -44,7 +46,8 @@
                     base::Duration ColdSpan, base::TimePoint Now);
 
   /// All listed upstreams of a service that may get new work in principle.
-  const std::vector<UpstreamPtr> &usable(const base::ServiceName &Service) const;
+  const std::vector<UpstreamPtr> &
+  usable(const base::ServiceName &Service) const;
   /// Slots of these upstreams by region.
   const RegionSlots &slots(const base::ServiceName &Service) const;
 
--- a/src/libs/traffic/worktimes.cpp
+++ b/src/libs/traffic/worktimes.cpp
@@ -21,12 +21,11 @@
     : Warm_(base::fromSeconds(base::toSeconds(Objective) * WarmGuess)),
       Fresh_(base::fromSeconds(base::toSeconds(Objective) * FreshGuess)) {}
 
-void WorkTimes::learn(bool KnowsObject, base::Duration Taken,
-                      double Slowness) {
+void WorkTimes::learn(bool KnowsObject, base::Duration Taken, double Slowness) {
   base::Duration &Known = KnowsObject ? Warm_ : Fresh_;
   const double Plain = base::toSeconds(Taken) / std::max(Slowness, 0.1);
-  Known = base::fromSeconds(base::toSeconds(Known) * (1 - Weight) +
-                            Plain * Weight);
+  Known =
+      base::fromSeconds(base::toSeconds(Known) * (1 - Weight) + Plain * Weight);
 }
 
 } // namespace ebony::traffic
--- a/src/libs/vm/callerrequest.h
+++ b/src/libs/vm/callerrequest.h
@@ -1,8 +1,8 @@
 #ifndef EBONY_VM_CALLERREQUEST_H
 #define EBONY_VM_CALLERREQUEST_H
 
-#include <boost/beast/http/message.hpp>
 #include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/message.hpp>
 
 #include <string>
 
--- a/src/libs/vm/callersession.cpp
+++ b/src/libs/vm/callersession.cpp
@@ -52,10 +52,8 @@
 // Time until data that a caller does not acknowledge breaks its connection.
 constexpr unsigned UnacknowledgedMs = 5000;
 
-// Part of the time left that a first silent attempt may take when another may
-// follow, and factor over the time foreseen.
-constexpr double FirstAttemptPart = 0.5;
-constexpr double FirstAttemptFactor = 3.0;
+// Advice after a failed attempt, as a share of the route's objective.
+constexpr double RetryAfterPart = 0.5;
 
 base::Duration scaled(base::Duration Span, double Factor) {
   return base::fromSeconds(base::toSeconds(Span) * Factor);
@@ -93,8 +91,7 @@
 CallerSession::CallerSession(VmState &State, DispatchDesk &Desk,
                              asio::ip::tcp::socket Socket)
     : State_(State), Desk_(Desk), Socket_(std::move(Socket)),
-      Watch_(std::make_shared<CallerWatch>(Socket_)),
-      Timer_(State.Deadlines_) {
+      Watch_(std::make_shared<CallerWatch>(Socket_)), Timer_(State.Deadlines_) {
   error_code Ignored; // The socket works without these, only less promptly.
   Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
   setsockopt(Socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
@@ -219,7 +216,8 @@
                  : DefaultDeadline;
   // A caller that stops sending its body is not waited for any longer.
   Timer_.arm(Outcome_.Started_ + Deadline, [this] { close(); });
-  if (!Parser_->is_done() && sameName(valueOf(Head, "Expect"), "100-continue")) {
+  if (!Parser_->is_done() &&
+      sameName(valueOf(Head, "Expect"), "100-continue")) {
     const bool IsSent = co_await send("HTTP/1.1 100 Continue\r\n\r\n");
     if (!IsSent) {
       KeepsOpen_ = false;
@@ -238,8 +236,7 @@
     co_return;
   }
   const std::string_view Path =
-      std::string_view(Request_.Target_)
-          .substr(0, Request_.Target_.find('?'));
+      std::string_view(Request_.Target_).substr(0, Request_.Target_.find('?'));
   const traffic::RouteTerms *Route =
       Rules->findRoute(hostOf(valueOf(Head, "Host")), Path);
   if (!Route) {
@@ -343,9 +340,9 @@
     Outcome_.Upstream_ = Chosen.Upstream_->Entry_.Name_.text();
     Outcome_.Rank_ = Chosen.Rank_;
     const base::TimePoint Began = State_.now();
-    Attempt_ = std::make_shared<Exchange>(State_.Platform_.Headers_,
-                                          State_.Links_, State_.Deadlines_,
-                                          termsFor(Own));
+    Attempt_ =
+        std::make_shared<Exchange>(State_.Platform_.Headers_, State_.Links_,
+                                   State_.Deadlines_, termsFor(Own));
     BodySource MoreBody;
     if (Request_.HasMoreBody_)
       MoreBody = [this] { return nextPiece(); };
@@ -385,11 +382,11 @@
         co_return;
       }
       Attempt->release(State_.now());
-      const unsigned Status = !MayHaveRun_                       ? 503U
+      const unsigned Status = !MayHaveRun_                      ? 503U
                               : Result == AttemptResult::Silent ? 504U
-                                                                 : 502U;
+                                                                : 502U;
       co_await refuse(Status, toText(Result),
-                      scaled(Route.Objective_, FirstAttemptPart));
+                      scaled(Route.Objective_, RetryAfterPart));
       co_return;
     }
     State_.log(EventLine("attempt-failed")
@@ -409,12 +406,6 @@
   Terms.Upstream_ = Entry.Name_;
   Terms.Address_ = {asio::ip::make_address(Entry.Address_), Entry.Port_};
   Terms.Limit_ = One.Limit_;
-  if (One.Repeats_ == RepeatRule::Idempotent && Attempts_ == 0)
-    Terms.Limit_ =
-        Now + std::min(One.Limit_ - Now,
-                       std::max(scaled(One.Limit_ - Now, FirstAttemptPart),
-                                scaled(Chosen.Placement_.Foreseen_,
-                                       FirstAttemptFactor)));
   Terms.TimeLeft_ = Terms.Limit_ - Now;
   Terms.ConnectTimeOut_ = ConnectTimeOut;
   Terms.MostIdle_ = One.Repeats_ == RepeatRule::Idempotent
@@ -450,19 +441,19 @@
   constexpr unsigned TooMany = 429;
   Outcome_.Status_ = Status;
   Outcome_.Reason_ = Reason;
-  Outcome_.Outcome_ = Status == Unavailable || Status == TooMany ||
-                              Status < 500
+  Outcome_.Outcome_ = Status == Unavailable || Status == TooMany || Status < 500
                           ? "refused"
                           : "failed";
   // A body that was not read would be taken for the next request.
   if (Request_.HasMoreBody_ || State_.IsStopping_)
     KeepsOpen_ = false;
-  std::string Bytes = "HTTP/1.1 " + std::to_string(Status) + " " +
-                      std::string(http::obsolete_reason(
-                          static_cast<http::status>(Status))) +
-                      "\r\n";
+  std::string Bytes =
+      "HTTP/1.1 " + std::to_string(Status) + " " +
+      std::string(http::obsolete_reason(static_cast<http::status>(Status))) +
+      "\r\n";
   if (!Request_.Id_.empty())
-    Bytes += State_.Platform_.Headers_.RequestId_ + ": " + Request_.Id_ + "\r\n";
+    Bytes +=
+        State_.Platform_.Headers_.RequestId_ + ": " + Request_.Id_ + "\r\n";
   if ((Status == Unavailable || Status == TooMany) &&
       RetryAfter > base::Duration::zero())
     Bytes += "Retry-After: " + secondsText(RetryAfter) + "\r\n";
--- a/src/libs/vm/callerwatch.cpp
+++ b/src/libs/vm/callerwatch.cpp
@@ -26,8 +26,8 @@
 // Readable means data of a next request, which waits its turn, or the end.
 void CallerWatch::look() {
   char Byte = 0;
-  const ssize_t Got = recv(Socket_->native_handle(), &Byte, 1,
-                           MSG_PEEK | MSG_DONTWAIT);
+  const ssize_t Got =
+      recv(Socket_->native_handle(), &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
   if (Got > 0)
     return;
   if (Got < 0 && (errno == EAGAIN || errno == EINTR)) {
--- a/src/libs/vm/exchange.cpp
+++ b/src/libs/vm/exchange.cpp
@@ -150,8 +150,8 @@
   Head += Request.Method_ + " " + Request.Target_ + " HTTP/1.1\r\n";
   const std::string Connection(valueOf(*Request.Fields_, "Connection"));
   const std::array<std::string_view, 6> Own = {
-      "Authorization",   "Content-Length", "Expect", Names_.Deadline_,
-      Names_.Customer_, Names_.ExpectedUpstream_};
+      "Authorization",  "Content-Length", "Expect",
+      Names_.Deadline_, Names_.Customer_, Names_.ExpectedUpstream_};
   const auto Add = [&Head](std::string_view Name, std::string_view Value) {
     Head += Name;
     Head += ": ";
@@ -162,14 +162,13 @@
     const std::string_view Name(Field.name_string().data(),
                                 Field.name_string().size());
     const bool IsOwn =
-        std::any_of(Own.begin(), Own.end(), [&](std::string_view One) {
-          return sameName(One, Name);
-        });
+        std::any_of(Own.begin(), Own.end(),
+                    [&](std::string_view One) { return sameName(One, Name); });
     if (!IsOwn && !isHopField(Name, Connection))
       Add(Name, {Field.value().data(), Field.value().size()});
   }
-  const auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
-      Terms_.TimeLeft_);
+  const auto Left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Terms_.TimeLeft_);
   Add(Names_.Deadline_, std::to_string(Left.count()));
   Add(Names_.ExpectedUpstream_, Terms_.Upstream_.text());
   if (!Request.Customer_.empty())
@@ -194,8 +193,8 @@
     const bool IsLast = Piece.empty();
     if (IsChunked) {
       std::array<char, 20> Size{};
-      const int Length = std::snprintf(Size.data(), Size.size(), "%zx\r\n",
-                                       Piece.size());
+      const int Length =
+          std::snprintf(Size.data(), Size.size(), "%zx\r\n", Piece.size());
       Piece.insert(0, Size.data(), static_cast<std::size_t>(Length));
       Piece += "\r\n";
     }
--- a/src/libs/vm/exchange.h
+++ b/src/libs/vm/exchange.h
@@ -18,7 +18,8 @@
 
 /// Gives the next piece of a request's body; empty at its end, nothing when the
 /// caller broke off.
-using BodySource = std::function<asynckit::awaitable<std::optional<std::string>>()>;
+using BodySource =
+    std::function<asynckit::awaitable<std::optional<std::string>>()>;
 
 /// What one attempt has to be told besides the request.
 struct ExchangeTerms {
--- a/src/libs/vm/headerfields.cpp
+++ b/src/libs/vm/headerfields.cpp
@@ -14,9 +14,9 @@
 namespace beast = boost::beast;
 
 constexpr std::array<std::string_view, 9> HopFields = {
-    "Connection", "Keep-Alive",        "Proxy-Authenticate",
+    "Connection",       "Keep-Alive",          "Proxy-Authenticate",
     "Proxy-Connection", "Proxy-Authorization", "TE",
-    "Trailer",    "Transfer-Encoding", "Upgrade"};
+    "Trailer",          "Transfer-Encoding",   "Upgrade"};
 
 beast::string_view toBeast(std::string_view Text) {
   return {Text.data(), Text.size()};
--- a/src/libs/vm/knowledge.cpp
+++ b/src/libs/vm/knowledge.cpp
@@ -13,31 +13,29 @@
 
 // The operators' table changes rarely; an answer at least this often proves
 // that no key was withdrawn, well within the shortest limit for that.
-constexpr FollowPace OperatorPace{std::chrono::milliseconds(1200),
+constexpr FollowPace OperatorPace{std::chrono::milliseconds(1900),
                                   std::chrono::milliseconds(100)};
 
 // Upstreams write their entries all the time; a question held open would be
 // answered at once, so the pace is set here.
 constexpr FollowPace UpstreamPace{std::chrono::milliseconds(500),
-                                  std::chrono::milliseconds(700)};
+                                  std::chrono::milliseconds(1000)};
 
 } // namespace
 
 Knowledge::Knowledge(VmState &State)
     : State_(State),
-      Operators_(State, State.Platform_.OperatorTable_, OperatorPace,
-                 {[this](const auto &Rows) { replaceOperatorRows(Rows); },
-                  [this](const auto &Rows) { changeOperatorRows(Rows); },
-                  [this](base::TimePoint Asked) {
-                    State_.KeyTrust_.confirm(Asked);
-                  },
-                  nullptr}),
-      Upstreams_(State, State.Platform_.UpstreamTable_, UpstreamPace,
-                 {[this](const auto &Rows) { replaceUpstreams(Rows); },
-                  [this](const auto &Rows) { changeUpstreams(Rows); }, nullptr,
-                  [this] {
-                    State_.Upstreams_.noteStoreReturn(State_.now());
-                  }}) {}
+      Operators_(
+          State, State.Platform_.OperatorTable_, OperatorPace,
+          {[this](const auto &Rows) { replaceOperatorRows(Rows); },
+           [this](const auto &Rows) { changeOperatorRows(Rows); },
+           [this](base::TimePoint Asked) { State_.KeyTrust_.confirm(Asked); },
+           nullptr}),
+      Upstreams_(
+          State, State.Platform_.UpstreamTable_, UpstreamPace,
+          {[this](const auto &Rows) { replaceUpstreams(Rows); },
+           [this](const auto &Rows) { changeUpstreams(Rows); }, nullptr,
+           [this] { State_.Upstreams_.noteStoreReturn(State_.now()); }}) {}
 
 void Knowledge::start() {
   using boost::asio::co_spawn;
--- a/src/libs/vm/peerexchange.cpp
+++ b/src/libs/vm/peerexchange.cpp
@@ -84,8 +84,8 @@
   for (;;) {
     sendReports();
     const base::Duration Gap = std::max<base::Duration>(
-        LeastGap, std::chrono::microseconds(
-                      1'000'000 * Peers_.size() / MostReportsPerSecond));
+        LeastGap, std::chrono::microseconds(1'000'000 * Peers_.size() /
+                                            MostReportsPerSecond));
     Timer_.expires_after(Gap);
     error_code Ignored; // A cancelled wait sends the next report early.
     co_await Timer_.async_wait(into(Ignored));
--- a/src/libs/vm/quotakeeper.cpp
+++ b/src/libs/vm/quotakeeper.cpp
@@ -59,9 +59,8 @@
                       State_.Members_, State_.now());
     if (!Next)
       continue;
-    const StoreStatus Status =
-        co_await Store_->write(VmTableName, rowKey(), encodeQuotaPlan(*Next),
-                               RowVersion_);
+    const StoreStatus Status = co_await Store_->write(
+        VmTableName, rowKey(), encodeQuotaPlan(*Next), RowVersion_);
     State_.log(EventLine("quota-plan-written")
                    .add("quota_plan", Next->Version_)
                    .add("status", store::toText(Status)));
--- a/src/libs/vm/quotakeeper.h
+++ b/src/libs/vm/quotakeeper.h
@@ -1,8 +1,8 @@
 #ifndef EBONY_VM_QUOTAKEEPER_H
 #define EBONY_VM_QUOTAKEEPER_H
 
-#include "traffic/quotaplanner.h"
 #include "asynckit/awaiting.h"
+#include "traffic/quotaplanner.h"
 #include "vm/vmstate.h"
 
 namespace ebony::vm {
--- a/src/libs/vm/tablefollower.cpp
+++ b/src/libs/vm/tablefollower.cpp
@@ -16,8 +16,8 @@
 
 } // namespace
 
-TableFollower::TableFollower(VmState &State, std::string Table,
-                             FollowPace Pace, TableListener Listener)
+TableFollower::TableFollower(VmState &State, std::string Table, FollowPace Pace,
+                             TableListener Listener)
     : State_(State), Table_(std::move(Table)), Pace_(Pace),
       Listener_(std::move(Listener)), Store_(State.Platform_.MakeStore_()),
       Pause_(State.Context_) {}
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -28,7 +28,7 @@
 
 // The VMs' table changes when a VM starts and when quota moves. An answer at
 // least this often proves that the quota plan is the newest.
-constexpr FollowPace VmTablePace{std::chrono::milliseconds(2000),
+constexpr FollowPace VmTablePace{std::chrono::milliseconds(2800),
                                  std::chrono::milliseconds(100)};
 
 // Time for which callers keep a directory answer.
@@ -52,18 +52,15 @@
 VmDaemon::VmDaemon(asio::io_context &Context, VmState &State)
     : Context_(Context), State_(State), Desk_(State), Knowledge_(State),
       Peers_(State), Quota_(State),
-      VmTable_(State, VmTableName, VmTablePace,
-               {[this](const std::vector<store::Row> &Rows) {
-                  Peers_.replaceRows({});
-                  changeVmTable(Rows);
-                },
-                [this](const std::vector<store::Row> &Rows) {
-                  changeVmTable(Rows);
-                },
-                [this](base::TimePoint Asked) {
-                  State_.PlanTrust_.confirm(Asked);
-                },
-                nullptr}),
+      VmTable_(
+          State, VmTableName, VmTablePace,
+          {[this](const std::vector<store::Row> &Rows) {
+             Peers_.replaceRows({});
+             changeVmTable(Rows);
+           },
+           [this](const std::vector<store::Row> &Rows) { changeVmTable(Rows); },
+           [this](base::TimePoint Asked) { State_.PlanTrust_.confirm(Asked); },
+           nullptr}),
       Readiness_(State, State.Settings_.Readiness_,
                  [this](const std::string &Path, const Query &) {
                    return answerReadiness(Path);
@@ -217,9 +214,8 @@
       break;
   }
   State_.log(EventLine("stopped").add(
-      "open_connections",
-      static_cast<std::int64_t>(
-          std::distance(Sessions_.begin(), Sessions_.end()))));
+      "open_connections", static_cast<std::int64_t>(std::distance(
+                              Sessions_.begin(), Sessions_.end()))));
   State_.Log_.flush();
   Context_.stop();
 }
--- a/src/libs/vm/vmdaemon.h
+++ b/src/libs/vm/vmdaemon.h
@@ -26,8 +26,7 @@
   asynckit::awaitable<void> awaitSignals();
   asynckit::awaitable<void> stop();
   PlainAnswer answerReadiness(const std::string &Path) const;
-  PlainAnswer answerDirectory(const std::string &Path,
-                              const Query &Parameters);
+  PlainAnswer answerDirectory(const std::string &Path, const Query &Parameters);
   PlainAnswer answerMetrics(const std::string &Path);
   void changeVmTable(const std::vector<store::Row> &Rows);
   void tick();
--- a/src/libs/vm/vmmetrics.cpp
+++ b/src/libs/vm/vmmetrics.cpp
@@ -19,9 +19,8 @@
                                  "Requests sent to one more upstream.")),
       StoreFailures_(Registry_.counter("ebony_store_failures_total",
                                        "Calls to the store that failed.")),
-      ConfigurationVersion_(Registry_.counter("ebony_configuration_version",
-                                              "Configuration in force.", "",
-                                              Gauge)),
+      ConfigurationVersion_(Registry_.counter(
+          "ebony_configuration_version", "Configuration in force.", "", Gauge)),
       StoreAgeMs_(Registry_.counter(
           "ebony_configuration_age_milliseconds",
           "Age of the last proof that the configuration is the newest.", "",
@@ -29,8 +28,8 @@
       LiveVms_(Registry_.counter("ebony_live_vms",
                                  "Entry VMs heard of, this one included.", "",
                                  Gauge)),
-      Upstreams_(Registry_.counter("ebony_upstreams", "Upstreams listed.", "",
-                                   Gauge)),
+      Upstreams_(
+          Registry_.counter("ebony_upstreams", "Upstreams listed.", "", Gauge)),
       DroppedLines_(Registry_.counter("ebony_log_lines_dropped",
                                       "Log lines that found no reader.", "",
                                       Gauge)) {}
--- a/src/libs/vm/vmsettings.cpp
+++ b/src/libs/vm/vmsettings.cpp
@@ -1,7 +1,7 @@
 #include "vm/vmsettings.h"
 
-#include "json/objectreader.h"
 #include "settings/settingssource.h"
+#include "json/objectreader.h"
 
 #include <Poco/JSON/Array.h>
 
--- a/src/libs/vm/vmstate.cpp
+++ b/src/libs/vm/vmstate.cpp
@@ -35,8 +35,8 @@
       .count();
 }
 
-std::size_t countRegions(
-    const std::map<base::ZoneName, base::RegionName> &Zones) {
+std::size_t
+countRegions(const std::map<base::ZoneName, base::RegionName> &Zones) {
   std::set<base::RegionName> Regions;
   for (const auto &[Zone, Region] : Zones)
     Regions.insert(Region);
@@ -48,8 +48,7 @@
 }
 
 std::string toText(const boost::asio::ip::tcp::endpoint &Endpoint) {
-  return Endpoint.address().to_string() + ":" +
-         std::to_string(Endpoint.port());
+  return Endpoint.address().to_string() + ":" + std::to_string(Endpoint.port());
 }
 
 } // namespace
@@ -58,19 +57,19 @@
                  VmSettings Settings, FleetBounds Bounds,
                  PlatformBinding Platform, std::uint64_t Seed)
     : Context_(Context), Clock_(Clock), Settings_(std::move(Settings)),
-      Bounds_(Bounds), Platform_(std::move(Platform)), Incarnation_(unixMilliseconds()),
-      Log_(STDOUT_FILENO, Settings_.Name_), KeyTrust_(trustLimit(Bounds_)),
-      PlanTrust_(trustLimit(Bounds_)),
+      Bounds_(Bounds), Platform_(std::move(Platform)),
+      Incarnation_(unixMilliseconds()), Log_(STDOUT_FILENO, Settings_.Name_),
+      KeyTrust_(trustLimit(Bounds_)), PlanTrust_(trustLimit(Bounds_)),
       Upstreams_(Settings_.Zones_, ReturnGrace),
       Members_(Settings_.Name_, MemberGoneAfter),
       ColdGate_(Settings_.Name_, ColdShare),
-      Dispatcher_(Upstreams_,
-                  traffic::PlacementOrder(Settings_.Region_,
-                                          countRegions(Settings_.Zones_)),
-                  ColdGate_,
-                  traffic::DispatchTerms{Bounds_.ColdOverrun_,
-                                         Bounds_.ColdSlack_},
-                  base::RandomEngine(Seed)),
+      Dispatcher_(
+          Upstreams_,
+          traffic::PlacementOrder(Settings_.Region_,
+                                  countRegions(Settings_.Zones_)),
+          ColdGate_,
+          traffic::DispatchTerms{Bounds_.ColdOverrun_, Bounds_.ColdSlack_},
+          base::RandomEngine(Seed)),
       Quota_(Settings_.Name_, QuotaOveruse, trustLimit(Bounds_)),
       Budget_(Bounds_.RetryRatio_, Bounds_.RetrySlack_, Bounds_.RetryWindow_),
       Directory_(MostNamed, base::RandomEngine(Seed + 1)), Links_(Context) {}
--- a/src/libs/vm/vmstate.h
+++ b/src/libs/vm/vmstate.h
@@ -24,8 +24,8 @@
 class VmState {
 public:
   VmState(boost::asio::io_context &Context, const base::Clock &Clock,
-          VmSettings Settings, FleetBounds Bounds,
-          PlatformBinding Platform, std::uint64_t Seed);
+          VmSettings Settings, FleetBounds Bounds, PlatformBinding Platform,
+          std::uint64_t Seed);
 
   base::TimePoint now() const { return Clock_.now(); }
   void log(const telemetry::EventLine &Line,
