Leave a silent first attempt only for a repeat that is sure to follow

Cause: since no attempt ends early, requests at silent upstreams wait to their end. An attempt is now left half way through its time if the budget has room, another upstream has a free slot and the VM stays.

--- a/src/libs/telemetry/eventlog.cpp
+++ b/src/libs/telemetry/eventlog.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 // Bytes that may wait for the reader; some thousand lines.
-constexpr std::size_t MostPending = 512 * 1024;
+constexpr std::size_t MostPending = 512UL * 1024;
 
 // Routine lines a second; above that only each tenth is written, so that the
 // volume stays bounded when callers press.
--- a/src/libs/traffic/dispatcher.cpp
+++ b/src/libs/traffic/dispatcher.cpp
@@ -111,6 +111,15 @@
   Times.learn(KnowsObject, Taken, Upstream.Slowness_);
 }
 
+bool Dispatcher::hasFreeUpstream(const Job &One, base::TimePoint Now) const {
+  return std::any_of(
+      One.Order_.begin(), One.Order_.end(), [&](const UpstreamPtr &Each) {
+        return Each->IsListed_ && !Each->Entry_.IsDraining_ &&
+               !One.wasTried(Each->Entry_.Name_) && !Each->isEjected(Now) &&
+               !Each->isCold(Now) && Each->freeSlots() > 0;
+      });
+}
+
 Placement Dispatcher::decide(Job &One, base::TimePoint Now) {
   const base::Duration Left = One.Limit_ - Now;
   if (Left <= base::Duration::zero())
--- a/src/libs/traffic/dispatcher.h
+++ b/src/libs/traffic/dispatcher.h
@@ -70,6 +70,9 @@
   void finish(const Placement &Chosen, const Job &One, AttemptResult Result,
               base::Duration Taken, base::TimePoint Now);
 
+  /// Whether an upstream that the request was not sent to could take it now.
+  bool hasFreeUpstream(const Job &One, base::TimePoint Now) const;
+
   std::size_t waiting() const { return Waiting_.size(); }
 
 private:
--- a/src/libs/vm/callersession.cpp
+++ b/src/libs/vm/callersession.cpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <cmath>
+#include <utility>
 
 namespace ebony::vm {
 
@@ -28,8 +29,8 @@
 
 // Body of a request that is kept so that it can be sent to another upstream;
 // longer ones are passed on as they come and sent once.
-constexpr std::size_t MostKeptBody = 512 * 1024;
-constexpr std::size_t PieceBytes = 8 * 1024;
+constexpr std::size_t MostKeptBody = 512UL * 1024;
+constexpr std::size_t PieceBytes = 8UL * 1024;
 
 // Time for a caller that sends no deadline.
 constexpr base::Duration DefaultDeadline = std::chrono::seconds(30);
@@ -52,6 +53,11 @@
 // Time until data that a caller does not acknowledge breaks its connection.
 constexpr unsigned UnacknowledgedMs = 5000;
 
+// Part of the time left, and factor over the time foreseen, after which a
+// first attempt counts as silent when another may follow.
+constexpr double SilentPart = 0.5;
+constexpr double SilentFactor = 3.0;
+
 // Advice after a failed attempt, as a share of the route's objective.
 constexpr double RetryAfterPart = 0.5;
 
@@ -150,6 +156,7 @@
   Request_ = CallerRequest();
   Attempts_ = 0;
   MayHaveRun_ = false;
+  IsRepeatPaid_ = false;
   if (!Error)
     co_return true;
   if (Error == http::error::header_limit || Error == http::error::body_limit ||
@@ -342,7 +349,7 @@
     const base::TimePoint Began = State_.now();
     Attempt_ =
         std::make_shared<Exchange>(State_.Platform_.Headers_, State_.Links_,
-                                   State_.Deadlines_, termsFor(Own));
+                                   State_.Deadlines_, termsFor(Own, Route));
     BodySource MoreBody;
     if (Request_.HasMoreBody_)
       MoreBody = [this] { return nextPiece(); };
@@ -398,7 +405,8 @@
   }
 }
 
-ExchangeTerms CallerSession::termsFor(const Turn &Chosen) const {
+ExchangeTerms CallerSession::termsFor(const Turn &Chosen,
+                                      const traffic::RouteTerms &Route) {
   const traffic::UpstreamEntry &Entry = Chosen.Placement_.Upstream_->Entry_;
   const Job &One = *Chosen.Job_;
   const base::TimePoint Now = State_.now();
@@ -407,6 +415,12 @@
   Terms.Address_ = {asio::ip::make_address(Entry.Address_), Entry.Port_};
   Terms.Limit_ = One.Limit_;
   Terms.TimeLeft_ = Terms.Limit_ - Now;
+  if (One.Repeats_ == RepeatRule::Idempotent && Attempts_ == 0) {
+    Terms.SilentFrom_ =
+        Now + std::max(scaled(Terms.TimeLeft_, SilentPart),
+                       scaled(Chosen.Placement_.Foreseen_, SilentFactor));
+    Terms.MayGiveUp_ = [this, &One, &Route] { return mayGiveUp(One, Route); };
+  }
   Terms.ConnectTimeOut_ = ConnectTimeOut;
   Terms.MostIdle_ = One.Repeats_ == RepeatRule::Idempotent
                         ? base::Duration::max()
@@ -414,6 +428,17 @@
   return Terms;
 }
 
+// A silent upstream is left only for a repeat that is sure to follow: the
+// budget has room, another upstream has a free slot, and this VM stays.
+bool CallerSession::mayGiveUp(const Job &Job, const traffic::RouteTerms &Route) {
+  if (State_.IsStopping_ || Request_.HasMoreBody_ ||
+      Attempts_ + 1 >= Route.MaxAttempts_ ||
+      !State_.Dispatcher_.hasFreeUpstream(Job, State_.now()))
+    return false;
+  IsRepeatPaid_ = State_.Budget_.take(Job.Service_, State_.now());
+  return IsRepeatPaid_;
+}
+
 bool CallerSession::mayRepeat(const Job &Job, const traffic::RouteTerms &Route,
                               AttemptResult Result) {
   const bool DidNotRun =
@@ -423,7 +448,8 @@
   if (Attempts_ >= Route.MaxAttempts_ || Request_.HasMoreBody_ ||
       State_.now() >= Job.Limit_)
     return false;
-  if (!State_.Budget_.take(Job.Service_, State_.now()))
+  if (!std::exchange(IsRepeatPaid_, false) &&
+      !State_.Budget_.take(Job.Service_, State_.now()))
     return false;
   State_.Metrics_.Repeats_.add();
   return true;
--- a/src/libs/vm/callersession.h
+++ b/src/libs/vm/callersession.h
@@ -51,7 +51,8 @@
                                         const traffic::CustomerTerms *Customer);
   bool mayRepeat(const traffic::Job &Job, const traffic::RouteTerms &Route,
                  traffic::AttemptResult Result);
-  ExchangeTerms termsFor(const Turn &Chosen) const;
+  ExchangeTerms termsFor(const Turn &Chosen, const traffic::RouteTerms &Route);
+  bool mayGiveUp(const traffic::Job &Job, const traffic::RouteTerms &Route);
   void noteGone();
   void logOutcome();
 
@@ -68,6 +69,8 @@
   traffic::JobId JobId_ = 0;
   int Attempts_ = 0;
   bool MayHaveRun_ = false;
+  /// Whether the budget was charged for the next attempt already.
+  bool IsRepeatPaid_ = false;
   bool IsIdle_ = true;
   bool KeepsOpen_ = true;
 };
--- a/src/libs/vm/exchange.cpp
+++ b/src/libs/vm/exchange.cpp
@@ -23,17 +23,17 @@
 
 // Body of an answer that is held back until it is whole, so that an answer
 // that breaks off can still be replaced by another upstream's.
-constexpr std::size_t MostHeldBody = 64 * 1024;
+constexpr std::size_t MostHeldBody = 64UL * 1024;
 
 // Piece in which bodies are read.
-constexpr std::size_t PieceBytes = 8 * 1024;
+constexpr std::size_t PieceBytes = 8UL * 1024;
 
 // Requests with a longer body are sent while the answer is awaited, because an
 // upstream may answer before it has read them.
-constexpr std::size_t InlineBody = 16 * 1024;
+constexpr std::size_t InlineBody = 16UL * 1024;
 
 // Largest head of an answer.
-constexpr std::uint32_t MostHeadBytes = 32 * 1024;
+constexpr std::uint32_t MostHeadBytes = 32UL * 1024;
 
 // Answers are streamed, so their length needs no bound.
 constexpr std::uint64_t MostBodyBytes = UINT64_MAX;
@@ -76,11 +76,7 @@
   if (!IsConnected)
     co_return IsAbandoned_ ? AttemptResult::Abandoned
                            : AttemptResult::Unreachable;
-  const std::weak_ptr<Exchange> Weak = weak_from_this();
-  Timer_.arm(Terms_.Limit_, [Weak] {
-    if (const auto Own = Weak.lock())
-      Own->Link_->close();
-  });
+  armTimer();
   const bool IsChunked = Request.HasMoreBody_ && Request.BodyLength_ < 0;
   std::string Head = headOf(Request, IsChunked);
   const bool IsInline =
@@ -120,6 +116,33 @@
                                          : AttemptResult::Answered;
 }
 
+void Exchange::armTimer() {
+  if (!Terms_.MayGiveUp_) {
+    armFinalTimer();
+    return;
+  }
+  const std::weak_ptr<Exchange> Weak = weak_from_this();
+  Timer_.arm(Terms_.SilentFrom_, [Weak] {
+    const auto Own = Weak.lock();
+    if (!Own)
+      return;
+    // An answer that has begun is read to its end.
+    const bool HasBegun = Own->Parser_ && Own->Parser_->is_header_done();
+    if (!HasBegun && Own->Terms_.MayGiveUp_())
+      Own->Link_->close();
+    else
+      Own->armFinalTimer();
+  });
+}
+
+void Exchange::armFinalTimer() {
+  const std::weak_ptr<Exchange> Weak = weak_from_this();
+  Timer_.arm(Terms_.Limit_, [Weak] {
+    if (const auto Own = Weak.lock())
+      Own->Link_->close();
+  });
+}
+
 awaitable<bool> Exchange::connect() {
   const base::TimePoint Now = Terms_.Limit_ - Terms_.TimeLeft_;
   Link_ = Links_.take(Terms_.Upstream_, Terms_.MostIdle_, Now);
--- a/src/libs/vm/exchange.h
+++ b/src/libs/vm/exchange.h
@@ -27,6 +27,10 @@
   boost::asio::ip::tcp::endpoint Address_;
   /// No answer is read after this.
   base::TimePoint Limit_{};
+  /// From here on a silent upstream is given up if that is allowed then.
+  base::TimePoint SilentFrom_{};
+  /// Whether another attempt will follow; asked once, at that time.
+  std::function<bool()> MayGiveUp_;
   /// What the upstream is told of the time left.
   base::Duration TimeLeft_{};
   /// Longest time to open a connection.
@@ -71,6 +75,8 @@
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
   asynckit::awaitable<bool> connect();
+  void armTimer();
+  void armFinalTimer();
   asynckit::awaitable<void> sendRest(std::shared_ptr<Exchange> Self,
                                      BodySource MoreBody, bool IsChunked);
   asynckit::awaitable<bool> readHead(const CallerRequest &Request);
--- a/src/libs/vm/peerexchange.cpp
+++ b/src/libs/vm/peerexchange.cpp
@@ -21,7 +21,7 @@
 constexpr int MostReportsPerSecond = 60;
 
 // Largest datagram that is read.
-constexpr std::size_t MostDatagram = 8 * 1024;
+constexpr std::size_t MostDatagram = 8UL * 1024;
 
 } // namespace
 
