Send callers to VMs whose knowledge of the store is fresh

A proof is as old as its question, so knowledge grows as old as two held questions: the slower pace (2.8 s) passed the limit of 4.5 s all the time. After an outage the held question also kept the proof back for 3 s, and the directory named VMs that could serve no key.

Now two questions fit into the limit, the first question after an outage is not held, and the directory prefers VMs with fresh knowledge.

--- a/src/libs/peers/reportcodec.cpp
+++ b/src/libs/peers/reportcodec.cpp
@@ -27,6 +27,7 @@
   Message.region = Report.Region_.text();
   Message.isReady = Report.IsReady_;
   Message.isLeaving = Report.IsLeaving_;
+  Message.isCurrent = Report.IsCurrent_;
   Message.quotaPlan = Report.QuotaPlan_;
   Message.corePermille = Report.CorePermille_;
   for (const auto &[Name, Count] : Report.InFlight_)
@@ -63,6 +64,7 @@
   Report.Region_ = base::RegionName(Message.region);
   Report.IsReady_ = Message.isReady;
   Report.IsLeaving_ = Message.isLeaving;
+  Report.IsCurrent_ = Message.isCurrent;
   Report.QuotaPlan_ = Message.quotaPlan;
   Report.CorePermille_ = Message.corePermille;
   for (const auto &[Name, Count] : Message.inFlight)
--- a/src/libs/peers/vmreport.thrift
+++ b/src/libs/peers/vmreport.thrift
@@ -20,4 +20,6 @@
   10: map<string, i32> inFlight
   /** Requests of each customer in thousandths a second. */
   11: map<string, i32> demand
+  /** Whether the VM's knowledge of the store is fresh. */
+  12: bool isCurrent
 }
--- a/src/libs/traffic/entrydirectory.cpp
+++ b/src/libs/traffic/entrydirectory.cpp
@@ -2,23 +2,38 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace ebony::traffic {
 
+namespace {
+
+using Reports = std::vector<const MemberReport *>;
+
+/// Drops the VMs that do not satisfy \p Accept, unless none does.
+template <typename Predicate>
+void keepIfAny(Reports &All, const Predicate &Accept) {
+  if (std::any_of(All.begin(), All.end(), Accept))
+    std::erase_if(All, std::not_fn(Accept));
+}
+
+} // namespace
+
 std::vector<std::string> EntryDirectory::resolve(const base::RegionName &Region,
                                                  const MemberReport &Own,
                                                  const MemberTable &Members,
                                                  base::TimePoint Now) {
-  std::vector<const MemberReport *> All = Members.live(Now);
+  Reports All = Members.live(Now);
   All.push_back(&Own);
   std::erase_if(All, [](const MemberReport *One) {
     return !One->IsReady_ || One->IsLeaving_;
   });
-  const auto IsNear = [&](const MemberReport *One) {
+  // A VM without fresh knowledge refuses keys, so one farther off is better;
+  // when none is fresh, all are equally good again.
+  keepIfAny(All, [](const MemberReport *One) { return One->IsCurrent_; });
+  keepIfAny(All, [&](const MemberReport *One) {
     return One->Region_ == Region;
-  };
-  if (std::any_of(All.begin(), All.end(), IsNear))
-    std::erase_if(All, std::not_fn(IsNear));
+  });
   // Weighted sample without replacement: the largest keys win.
   std::vector<std::pair<double, const MemberReport *>> Keyed;
   for (const MemberReport *One : All)
--- a/src/libs/traffic/memberreport.h
+++ b/src/libs/traffic/memberreport.h
@@ -20,6 +20,9 @@
   base::RegionName Region_;
   bool IsReady_ = false;
   bool IsLeaving_ = false;
+  /// Whether the VM's knowledge of the store is fresh, so that it serves
+  /// requests with keys.
+  bool IsCurrent_ = false;
   /// Version of the quota plan that is in force there.
   std::int64_t QuotaPlan_ = 0;
   /// Share of a core that the VM has, in thousandths.
--- a/src/libs/vm/tablefollower.cpp
+++ b/src/libs/vm/tablefollower.cpp
@@ -49,7 +49,9 @@
   if (IsFirst)
     Got = co_await Store_->readAll(Table_);
   else
-    Got = co_await Store_->readChanges(Table_, Version_, Pace_.Wait_);
+    // After a failure the answer must come at once: what rests on it waits.
+    Got = co_await Store_->readChanges(
+        Table_, Version_, IsLost_ ? base::Duration::zero() : Pace_.Wait_);
   if (Got.Status_ != StoreStatus::Done)
     co_return Got.Status_;
   if (IsLost_ && Listener_.Regained_)
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -27,8 +27,9 @@
 constexpr base::Duration SlowTickGap = std::chrono::milliseconds(250);
 
 // The VMs' table changes when a VM starts and when quota moves. An answer at
-// least this often proves that the quota plan is the newest.
-constexpr FollowPace VmTablePace{std::chrono::milliseconds(2800),
+// least this often proves that the quota plan is the newest; knowledge grows as
+// old as two questions take.
+constexpr FollowPace VmTablePace{std::chrono::milliseconds(1900),
                                  std::chrono::milliseconds(100)};
 
 // Time for which callers keep a directory answer.
--- a/src/libs/vm/vmstate.cpp
+++ b/src/libs/vm/vmstate.cpp
@@ -26,6 +26,10 @@
 // Half of the overrun that the fleet may show.
 constexpr double QuotaOveruse = 1.04;
 
+// Age of the proof that the configuration is the newest up to which callers
+// are sent here: over the time that two questions to the store take.
+constexpr base::Duration CurrentAge = std::chrono::milliseconds(3000);
+
 // Most addresses that one directory answer names.
 constexpr std::size_t MostNamed = 8;
 
@@ -84,6 +88,8 @@
   Report.Region_ = Settings_.Region_;
   Report.IsReady_ = isReady();
   Report.IsLeaving_ = IsStopping_;
+  Report.IsCurrent_ = KeyTrust_.age(now()) < CurrentAge &&
+                      PlanTrust_.holds(now());
   Report.QuotaPlan_ = Quota_.plan().Version_;
   Report.CorePermille_ =
       static_cast<int>(std::lround(Settings_.CoreShare_ * Permille));
