Give a silent upstream up only for a repeat that fits; end stops cleanly

A repeat now has to fit into the time left (test: aRepeatHasToFitIntoTheTimeLeft) and from 2.5 s after SIGTERM a VM closes its listener and refuses at once.

--- a/src/libs/traffic/dispatcher.cpp
+++ b/src/libs/traffic/dispatcher.cpp
@@ -112,13 +112,18 @@
   Times.learn(KnowsObject, Taken, Upstream.Slowness_);
 }
 
-bool Dispatcher::hasFreeUpstream(const Job &One, base::TimePoint Now) const {
-  return std::any_of(
-      One.Order_.begin(), One.Order_.end(), [&](const UpstreamPtr &Each) {
-        return Each->IsListed_ && !Each->Entry_.IsDraining_ &&
-               !One.wasTried(Each->Entry_.Name_) && !Each->isEjected(Now) &&
-               !Each->isCold(Now) && Each->freeSlots() > 0;
-      });
+bool Dispatcher::canRepeat(const Job &One, base::TimePoint Now) {
+  const base::Duration Usable = scaled(One.Limit_ - Now, UsableTime);
+  for (std::size_t Rank = 0; Rank < One.Order_.size(); ++Rank) {
+    const UpstreamState &Each = *One.Order_[Rank];
+    if (!Each.IsListed_ || Each.Entry_.IsDraining_ || Each.isEjected(Now) ||
+        Each.isCold(Now) || Each.freeSlots() <= 0 ||
+        One.wasTried(Each.Entry_.Name_))
+      continue;
+    if (foresee(One, Rank, Now).Foreseen_ <= Usable)
+      return true;
+  }
+  return false;
 }
 
 Placement Dispatcher::decide(Job &One, base::TimePoint Now) {
--- a/src/libs/traffic/dispatcher.h
+++ b/src/libs/traffic/dispatcher.h
@@ -70,8 +70,9 @@
   void finish(const Placement &Chosen, const Job &One, AttemptResult Result,
               base::Duration Taken, base::TimePoint Now);
 
-  /// Whether an upstream that the request was not sent to could take it now.
-  bool hasFreeUpstream(const Job &One, base::TimePoint Now) const;
+  /// Whether an upstream that the request was not sent to has a free slot and
+  /// an answer in time is foreseen there.
+  bool canRepeat(const Job &One, base::TimePoint Now);
 
   std::size_t waiting() const { return Waiting_.size(); }
 
--- a/src/libs/vm/callersession.cpp
+++ b/src/libs/vm/callersession.cpp
@@ -39,6 +39,9 @@
 // configuration is too old to trust keys.
 constexpr base::Duration UnknownRetryAfter = std::chrono::milliseconds(500);
 
+// Advice to callers of a VM that is about to end: another one takes them.
+constexpr base::Duration StoppingRetryAfter = std::chrono::milliseconds(50);
+
 // Upstreams that a request may fail to reach before it is given up; nothing
 // was sent to them, so they count towards no budget.
 constexpr int MostUnreachable = 3;
@@ -237,6 +240,10 @@
     KeepsOpen_ = false;
     co_return;
   }
+  if (State_.RefusesNew_) {
+    co_await refuse(503, "stopping", StoppingRetryAfter);
+    co_return;
+  }
   const traffic::TrafficRulesPtr Rules = State_.Rules_;
   if (!Rules || !State_.KnowsUpstreams_) {
     co_await refuse(503, "no-configuration", UnknownRetryAfter);
@@ -429,12 +436,12 @@
 }
 
 // A silent upstream is left only for a repeat that is sure to follow: the
-// budget has room, another upstream has a free slot, and this VM stays.
+// budget has room, another upstream can answer in time, and this VM stays.
 bool CallerSession::mayGiveUp(const Job &Job,
                               const traffic::RouteTerms &Route) {
   if (State_.IsStopping_ || Request_.HasMoreBody_ ||
       Attempts_ + 1 >= Route.MaxAttempts_ ||
-      !State_.Dispatcher_.hasFreeUpstream(Job, State_.now()))
+      !State_.Dispatcher_.canRepeat(Job, State_.now()))
     return false;
   IsRepeatPaid_ = State_.Budget_.take(Job.Service_, State_.now());
   return IsRepeatPaid_;
--- a/src/libs/vm/plainserver.cpp
+++ b/src/libs/vm/plainserver.cpp
@@ -28,7 +28,8 @@
 
 } // namespace
 
-PlainServer::PlainServer(VmState &State, tcp::endpoint Address, Handler Answer)
+PlainServer::PlainServer(VmState &State, const tcp::endpoint &Address,
+                         Handler Answer)
     : State_(State), Acceptor_(State.Context_, Address),
       Answer_(std::move(Answer)) {}
 
--- a/src/libs/vm/plainserver.h
+++ b/src/libs/vm/plainserver.h
@@ -31,7 +31,7 @@
   using Handler = std::function<PlainAnswer(const std::string &Path,
                                             const Query &Parameters)>;
 
-  PlainServer(VmState &State, boost::asio::ip::tcp::endpoint Address,
+  PlainServer(VmState &State, const boost::asio::ip::tcp::endpoint &Address,
               Handler Answer);
 
   void start();
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -36,7 +36,7 @@
 constexpr base::Duration EnlistPause = std::chrono::milliseconds(500);
 
 // Time before the end of the grace period at which the process ends.
-constexpr base::Duration StopMargin = std::chrono::milliseconds(700);
+constexpr base::Duration StopMargin = std::chrono::milliseconds(300);
 
 // Time after SIGTERM for which new connections are still served: callers keep
 // a directory answer this long.
@@ -204,6 +204,9 @@
     co_await Timer.async_wait(into(Ignored));
     if (State_.now() - Began < LeavingSpan)
       continue;
+    // What comes now could not be finished for sure.
+    State_.RefusesNew_ = true;
+    Callers_.close(Ignored);
     closeIdleSessions();
     if (Sessions_.empty())
       break;
--- a/src/libs/vm/vmstate.h
+++ b/src/libs/vm/vmstate.h
@@ -64,6 +64,8 @@
   UpstreamLinks Links_;
   bool KnowsUpstreams_ = false;
   bool IsStopping_ = false;
+  /// Whether the stop has come so far that no request is taken in any more.
+  bool RefusesNew_ = false;
 };
 
 } // namespace ebony::vm
--- a/tests/libs/peers/reportcodectest.cpp
+++ b/tests/libs/peers/reportcodectest.cpp
@@ -1,5 +1,5 @@
-#include "base/randomengine.h"
 #include "peers/reportcodec.h"
+#include "base/randomengine.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/libs/traffic/dispatchertest.cpp
+++ b/tests/libs/traffic/dispatchertest.cpp
@@ -1,5 +1,5 @@
-#include "libs/traffic/fixtures.h"
 #include "traffic/dispatcher.h"
+#include "libs/traffic/fixtures.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -82,8 +82,8 @@
   const Placement Sent = Dispatcher_.submit(First, at(0s));
   Dispatcher_.begin(Sent, *First, at(0s));
   auto Second = job(2, at(0s));
-  BOOST_TEST_REQUIRE((Dispatcher_.submit(Second, at(0s)).Verdict_ ==
-                      PlacementVerdict::Wait));
+  BOOST_TEST_REQUIRE(
+      (Dispatcher_.submit(Second, at(0s)).Verdict_ == PlacementVerdict::Wait));
   BOOST_TEST(Dispatcher_.poll(at(100ms)).empty());
   Dispatcher_.finish(Sent, *First, AttemptResult::Answered, 200ms, at(200ms));
   const auto Decided = Dispatcher_.poll(at(200ms));
@@ -97,8 +97,20 @@
   const Placement Sent = Dispatcher_.submit(One, at(0s));
   Dispatcher_.begin(Sent, *One, at(0s));
   Dispatcher_.finish(Sent, *One, AttemptResult::Shed, 10ms, at(10ms));
-  BOOST_TEST((Dispatcher_.submit(One, at(10ms)).Verdict_ ==
-              PlacementVerdict::Refuse));
+  BOOST_TEST(
+      (Dispatcher_.submit(One, at(10ms)).Verdict_ == PlacementVerdict::Refuse));
+}
+
+// A silent upstream is left only when another can still answer in time: with
+// 100 ms left none can, and the caller would get a failure for nothing.
+BOOST_AUTO_TEST_CASE(aRepeatHasToFitIntoTheTimeLeft) {
+  Table_.put(upstream("u1", "east-a", 4), at(0s));
+  Table_.put(upstream("u2", "east-a", 4), at(0s));
+  auto One = job(1, at(0s));
+  const Placement Sent = Dispatcher_.submit(One, at(0s));
+  Dispatcher_.begin(Sent, *One, at(0s));
+  BOOST_TEST(Dispatcher_.canRepeat(*One, at(500ms)));
+  BOOST_TEST(!Dispatcher_.canRepeat(*One, at(1400ms)));
 }
 
 // A constant overload of twice the slots: requests that are taken in are
--- a/tests/libs/traffic/gatestest.cpp
+++ b/tests/libs/traffic/gatestest.cpp
@@ -19,6 +19,7 @@
   constexpr int Vms = 40;
   constexpr double Bound = 6.1 * 1.5 + 5;
   std::vector<std::string> Names;
+  Names.reserve(Vms);
   for (int I = 0; I < Vms; ++I)
     Names.push_back("vm" + std::to_string(I));
   std::vector<ColdGate> Gates;
@@ -77,7 +78,8 @@
 
 BOOST_AUTO_TEST_CASE(splitsKeepTheirWeightsInShortSpans) {
   RouteTerms Route;
-  Route.Services_ = {{base::ServiceName("a"), 90}, {base::ServiceName("b"), 10}};
+  Route.Services_ = {{base::ServiceName("a"), 90},
+                     {base::ServiceName("b"), 10}};
   SplitChooser Chooser;
   int Small = 0;
   for (int I = 0; I < 100; ++I)
--- a/tests/libs/traffic/placementordertest.cpp
+++ b/tests/libs/traffic/placementordertest.cpp
@@ -1,6 +1,6 @@
-#include "libs/traffic/fixtures.h"
-#include "base/hashing.h"
 #include "traffic/placementorder.h"
+#include "base/hashing.h"
+#include "libs/traffic/fixtures.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -21,9 +21,9 @@
   return Table;
 }
 
-std::vector<UpstreamPtr> orderFor(const char *Region, const UpstreamTable &Table,
-                                  std::uint64_t Object,
-                                  const std::vector<base::RegionName> &Homes = {}) {
+std::vector<UpstreamPtr>
+orderFor(const char *Region, const UpstreamTable &Table, std::uint64_t Object,
+         const std::vector<base::RegionName> &Homes = {}) {
   const PlacementOrder Order(base::RegionName(Region), 3);
   return Order.order(Table, Status, Object, Homes, 4);
 }
--- a/tests/libs/traffic/quotatest.cpp
+++ b/tests/libs/traffic/quotatest.cpp
@@ -145,8 +145,7 @@
           Own.start(Victim, Now);
       }
       for (int I = 0; I < 8; ++I) {
-        const std::size_t At =
-            I < 6 ? Hot : Own.Random_.below(Own.Vms_.size());
+        const std::size_t At = I < 6 ? Hot : Own.Random_.below(Own.Vms_.size());
         if (Own.admit(Own.Vms_[At], Now))
           Admitted.push_back(Now);
       }
--- a/tests/libs/vm/followpacestest.cpp
+++ b/tests/libs/vm/followpacestest.cpp
@@ -1,5 +1,5 @@
-#include "vm/fleetbounds.h"
 #include "vm/followpaces.h"
+#include "vm/fleetbounds.h"
 
 #include <boost/test/unit_test.hpp>
 
--- a/tests/libs/vm/quotaplantexttest.cpp
+++ b/tests/libs/vm/quotaplantexttest.cpp
@@ -18,9 +18,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(malformedPlansAreRefused) {
-  for (const char *Text : {"", "x", "0\n", "3\natlas vm1 0.5\n",
-                           "3\natlas vm1 2 1\n", "3\natlas vm1 0.2 0.5\n",
-                           "3\natlas vm1 -1 -1\n"})
+  for (const char *Text :
+       {"", "x", "0\n", "3\natlas vm1 0.5\n", "3\natlas vm1 2 1\n",
+        "3\natlas vm1 0.2 0.5\n", "3\natlas vm1 -1 -1\n"})
     BOOST_TEST(!decodeQuotaPlan(Text).has_value());
 }
 
--- a/tests/platform/decodertest.cpp
+++ b/tests/platform/decodertest.cpp
@@ -58,9 +58,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(malformedConfigurationsAreFindings) {
-  for (const char *Text : {"", "[]", "{", R"({"version":"x"})", R"({})",
-                           R"({"version":"1","listeners":[5]})",
-                           R"({"version":"1","listeners":[{"host":"h","routeRules":[{}]}]})"})
+  for (const char *Text :
+       {"", "[]", "{", R"({"version":"x"})", R"({})",
+        R"({"version":"1","listeners":[5]})",
+        R"({"version":"1","listeners":[{"host":"h","routeRules":[{}]}]})"})
     BOOST_TEST(decodeConfiguration(Text).has_error());
 }
 
@@ -77,13 +78,14 @@
 }
 
 BOOST_AUTO_TEST_CASE(entriesOfOtherWritersNameNoUpstream) {
-  for (const char *Text :
-       {"", "\xff\xfe", "5", "{}",
-        R"({"service":5,"address":"10.0.0.9:1","zone":"a","slots":9,"state":"ready"})",
-        R"({"service":"s","address":"10.0.0.9","zone":"a","slots":9,"state":"ready"})",
-        R"({"service":"s","address":"10.0.0.9:1","zone":"a","slots":"9","state":"ready"})",
-        R"({"service":"s","address":"10.0.0.9:1","zone":"a","slots":9,"state":"odd"})",
-        R"({"service":"s","address":"10.0.0.9:99999","zone":"a","slots":9,"state":"ready"})"})
+  for (
+      const char *Text :
+      {"", "\xff\xfe", "5", "{}",
+       R"({"service":5,"address":"10.0.0.9:1","zone":"a","slots":9,"state":"ready"})",
+       R"({"service":"s","address":"10.0.0.9","zone":"a","slots":9,"state":"ready"})",
+       R"({"service":"s","address":"10.0.0.9:1","zone":"a","slots":"9","state":"ready"})",
+       R"({"service":"s","address":"10.0.0.9:1","zone":"a","slots":9,"state":"odd"})",
+       R"({"service":"s","address":"10.0.0.9:99999","zone":"a","slots":9,"state":"ready"})"})
     BOOST_TEST(!decodeUpstream(rowOf(Text)).has_value());
 }
 
