--- /dev/null
+++ b/tests/libs/vm/fakeupstream.h
@@ -0,0 +1,104 @@
+#ifndef EBONY_TESTS_VM_FAKEUPSTREAM_H
+#define EBONY_TESTS_VM_FAKEUPSTREAM_H
+
+#include "asynckit/awaiting.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <string>
+#include <vector>
+
+namespace ebony::vm {
+
+enum class FakeBehaviour {
+  Answer,
+  /// An answer to another request comes before the right one.
+  StrayAnswerFirst,
+  CloseUnanswered,
+  /// The body ends before its length is reached.
+  CutAnswer,
+  Shed,
+};
+
+using FakeRequest =
+    boost::beast::http::request<boost::beast::http::string_body>;
+
+/// Upstream on loopback that behaves as it is told.
+class FakeUpstream {
+public:
+  explicit FakeUpstream(boost::asio::io_context &Context)
+      : Context_(Context),
+        Acceptor_(Context, {boost::asio::ip::address_v4::loopback(), 0}) {}
+
+  void start() {
+    boost::asio::co_spawn(Context_, accept(), boost::asio::detached);
+  }
+  void setBehaviour(FakeBehaviour Behaviour) { Behaviour_ = Behaviour; }
+  std::uint16_t port() const { return Acceptor_.local_endpoint().port(); }
+  const std::vector<FakeRequest> &requests() const { return Requests_; }
+
+private:
+  asynckit::awaitable<void> accept() {
+    for (;;) {
+      asynckit::error_code Error;
+      auto Socket = co_await Acceptor_.async_accept(asynckit::into(Error));
+      if (Error)
+        co_return;
+      boost::asio::co_spawn(Context_, serve(std::move(Socket)),
+                            boost::asio::detached);
+    }
+  }
+
+  asynckit::awaitable<void> serve(boost::asio::ip::tcp::socket Socket) {
+    boost::beast::flat_buffer Buffer;
+    asynckit::error_code Error;
+    for (;;) {
+      FakeRequest Request;
+      co_await boost::beast::http::async_read(Socket, Buffer, Request,
+                                              asynckit::into(Error));
+      if (Error)
+        co_return;
+      Requests_.push_back(Request);
+      if (Behaviour_ == FakeBehaviour::CloseUnanswered)
+        co_return;
+      const std::string Answer = answerTo(std::string(Request["Id"]));
+      co_await boost::asio::async_write(Socket, boost::asio::buffer(Answer),
+                                        asynckit::into(Error));
+      if (Error || Behaviour_ == FakeBehaviour::CutAnswer)
+        co_return;
+    }
+  }
+
+  std::string answerTo(const std::string &Id) const {
+    const std::string Whole = "HTTP/1.1 200 OK\r\nId: " + Id +
+                              "\r\nStamp: s\r\nContent-Length: 12\r\n\r\n";
+    switch (Behaviour_) {
+    case FakeBehaviour::StrayAnswerFirst:
+      return "HTTP/1.1 200 OK\r\nId: other\r\nStamp: s\r\n"
+             "Content-Length: 5\r\n\r\nstray" +
+             Whole + "whole answer";
+    case FakeBehaviour::CutAnswer:
+      return Whole + "whole";
+    case FakeBehaviour::Shed:
+      return "HTTP/1.1 503 Busy\r\nId: " + Id +
+             "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    default:
+      return Whole + "whole answer";
+    }
+  }
+
+  boost::asio::io_context &Context_;
+  boost::asio::ip::tcp::acceptor Acceptor_;
+  FakeBehaviour Behaviour_ = FakeBehaviour::Answer;
+  std::vector<FakeRequest> Requests_;
+};
+
+} // namespace ebony::vm
+
+#endif
