Let the quota plan of a grown fleet fit into one row

Cause: a plan with a line for each customer and VM takes over 200 KB at 80 VMs and 82 customers; a row holds 64 KiB, so no plan could be written and every keyed request would be refused as over its quota.

--- a/src/libs/vm/quotaplantext.cpp
+++ b/src/libs/vm/quotaplantext.cpp
@@ -1,36 +1,93 @@
 #include "vm/quotaplantext.h"
 
 #include <array>
+#include <cmath>
 #include <cstdio>
+#include <set>
 #include <sstream>
+#include <vector>
 
 namespace ebony::vm {
 
+namespace {
+
+// Shares are written in steps of 1/4095, rounded down so that their sum cannot
+// pass the whole; three digits each keep the row of 80 VMs and 80 customers
+// below the 64 KiB that a row may have.
+constexpr double Steps = 4095;
+constexpr int DigitsPerShare = 3;
+constexpr std::size_t DigitsPerVm = 2 * DigitsPerShare;
+
+void appendSteps(std::string &Text, double Share) {
+  std::array<char, 8> Digits{};
+  std::snprintf(Digits.data(), Digits.size(), "%03x",
+                static_cast<unsigned>(std::floor(Share * Steps)));
+  Text += Digits.data();
+}
+
+/// Reads three digits; nothing where they are none.
+std::optional<double> readSteps(const std::string &Text, std::size_t At) {
+  unsigned Value = 0;
+  for (int I = 0; I < DigitsPerShare; ++I) {
+    const char Digit = Text[At + static_cast<std::size_t>(I)];
+    if (Digit >= '0' && Digit <= '9')
+      Value = Value * 16 + static_cast<unsigned>(Digit - '0');
+    else if (Digit >= 'a' && Digit <= 'f')
+      Value = Value * 16 + 10 + static_cast<unsigned>(Digit - 'a');
+    else
+      return std::nullopt;
+  }
+  return Value / Steps;
+}
+
+} // namespace
+
 std::string encodeQuotaPlan(const traffic::QuotaPlan &Plan) {
-  std::string Text = std::to_string(Plan.Version_) + "\n";
+  std::set<std::string> Vms;
   for (const auto &[Customer, Shares] : Plan.Customers_)
-    for (const auto &[Vm, Share] : Shares) {
-      std::array<char, 48> Figures{};
-      std::snprintf(Figures.data(), Figures.size(), "%.6f %.6f", Share.Share_,
-                    Share.Safe_);
-      Text += Customer.text() + " " + Vm + " " + Figures.data() + "\n";
+    for (const auto &[Vm, Share] : Shares)
+      Vms.insert(Vm);
+  std::string Text = std::to_string(Plan.Version_) + "\n";
+  for (const std::string &Vm : Vms)
+    Text += Vm + " ";
+  Text += "\n";
+  for (const auto &[Customer, Shares] : Plan.Customers_) {
+    Text += Customer.text() + " ";
+    for (const std::string &Vm : Vms) {
+      const auto Share = Shares.find(Vm);
+      const bool IsNamed = Share != Shares.end();
+      appendSteps(Text, IsNamed ? Share->second.Share_ : 0);
+      appendSteps(Text, IsNamed ? Share->second.Safe_ : 0);
     }
+    Text += "\n";
+  }
   return Text;
 }
 
 std::optional<traffic::QuotaPlan> decodeQuotaPlan(const std::string &Text) {
   std::istringstream Stream(Text);
+  std::string Line;
   traffic::QuotaPlan Plan;
-  if (!(Stream >> Plan.Version_) || Plan.Version_ < 1)
+  if (!(Stream >> Plan.Version_) || Plan.Version_ < 1 ||
+      !std::getline(Stream, Line) || !std::getline(Stream, Line))
     return std::nullopt;
-  std::string Customer;
-  std::string Vm;
-  traffic::QuotaShareOfVm Share;
-  while (Stream >> Customer) {
-    if (!(Stream >> Vm >> Share.Share_ >> Share.Safe_) || Share.Share_ < 0 ||
-        Share.Share_ > 1 || Share.Safe_ < 0 || Share.Safe_ > Share.Share_)
+  std::istringstream Names(Line);
+  std::vector<std::string> Vms;
+  std::string Word;
+  while (Names >> Word)
+    Vms.push_back(Word);
+  std::string Digits;
+  while (Stream >> Word) {
+    if (!(Stream >> Digits) || Digits.size() != Vms.size() * DigitsPerVm)
       return std::nullopt;
-    Plan.Customers_[base::CustomerName(Customer)][Vm] = Share;
+    traffic::QuotaShares &Shares = Plan.Customers_[base::CustomerName(Word)];
+    for (std::size_t I = 0; I < Vms.size(); ++I) {
+      const auto Share = readSteps(Digits, I * DigitsPerVm);
+      const auto Safe = readSteps(Digits, I * DigitsPerVm + DigitsPerShare);
+      if (!Share || !Safe || *Safe > *Share)
+        return std::nullopt;
+      Shares[Vms[I]] = {*Share, *Safe};
+    }
   }
   return Plan;
 }
--- a/src/libs/vm/quotaplantext.h
+++ b/src/libs/vm/quotaplantext.h
@@ -11,8 +11,9 @@
 /// Table in which the VMs of the fleet list themselves and keep the plan.
 constexpr const char *VmTableName = "vms";
 
-/// The plan as the text of its row: a version, then one line for each customer
-/// and VM with the share and the safe share.
+/// The plan as the text of its row: a line with the version, one with the names
+/// of the VMs, then one for each customer with six hexadecimal digits a VM:
+/// the share and the safe share, rounded down to steps of 1/4095.
 std::string encodeQuotaPlan(const traffic::QuotaPlan &Plan);
 
 /// Reads the text of a row; nothing when it is malformed.
