--- a/src/libs/vm/quotaplantext.cpp
+++ b/src/libs/vm/quotaplantext.cpp
@@ -15,7 +15,7 @@
 // pass the whole; three digits each keep the row of 80 VMs and 80 customers
 // below the 64 KiB that a row may have.
 constexpr double Steps = 4095;
-constexpr int DigitsPerShare = 3;
+constexpr std::size_t DigitsPerShare = 3;
 constexpr std::size_t DigitsPerVm = 2 * DigitsPerShare;
 
 void appendSteps(std::string &Text, double Share) {
@@ -28,8 +28,8 @@
 /// Reads three digits; nothing where they are none.
 std::optional<double> readSteps(const std::string &Text, std::size_t At) {
   unsigned Value = 0;
-  for (int I = 0; I < DigitsPerShare; ++I) {
-    const char Digit = Text[At + static_cast<std::size_t>(I)];
+  for (std::size_t I = 0; I < DigitsPerShare; ++I) {
+    const char Digit = Text[At + I];
     if (Digit >= '0' && Digit <= '9')
       Value = Value * 16 + static_cast<unsigned>(Digit - '0');
     else if (Digit >= 'a' && Digit <= 'f')
