Learn slowness from attempts that end without an answer

An attempt that failed, fell silent or lost its answer is now a lower bound of the slowness, weighted 0.3.

Test: anUpstreamThatAnswersOnlyAtTheDeadlineLosesItsObjects failed before (7 of 10 requests at the slow upstream, bound 5) and passes.

Ruled out: a fade of 5 s.

--- a/src/libs/traffic/dispatcher.cpp
+++ b/src/libs/traffic/dispatcher.cpp
@@ -21,6 +21,9 @@
 
 // Weight of one answer in an upstream's smoothed slowness.
 constexpr double SlownessWeight = 0.1;
+// Weight of an attempt that ended without an answer. It is higher, because few
+// such attempts are seen before the upstream is ejected.
+constexpr double UnansweredWeight = 0.3;
 constexpr double LeastSlowness = 0.5;
 constexpr double MostSlowness = 10.0;
 
@@ -99,17 +102,31 @@
   UpstreamState &Upstream = *Chosen.Upstream_;
   --Upstream.InFlight_;
   Health_.note(Upstream, Result, Now);
-  if (Result != AttemptResult::Answered)
-    return;
   WorkTimes &Times = timesOf(One);
   const bool KnowsObject = Chosen.Rank_ == 0;
   const double Ratio =
       base::toSeconds(Taken) /
       std::max(base::toSeconds(Times.expected(KnowsObject)), 0.001);
-  Upstream.Slowness_ = std::clamp(Upstream.Slowness_ * (1 - SlownessWeight) +
-                                      Ratio * SlownessWeight,
+  const double Known = Upstream.slownessAt(Now);
+  if (Result == AttemptResult::Answered) {
+    noteSlowness(Upstream, Known, Ratio, SlownessWeight, Now);
+    Times.learn(KnowsObject, Taken, Upstream.Slowness_);
+    return;
+  }
+  // The answer would have taken at least as long, so this can only raise it.
+  const bool IsLowerBound = Result == AttemptResult::Failed ||
+                            Result == AttemptResult::Lost ||
+                            Result == AttemptResult::Silent;
+  if (IsLowerBound && Ratio > Known)
+    noteSlowness(Upstream, Known, Ratio, UnansweredWeight, Now);
+}
+
+void Dispatcher::noteSlowness(UpstreamState &Upstream, double Known,
+                              double Ratio, double Weight,
+                              base::TimePoint Now) {
+  Upstream.Slowness_ = std::clamp(Known * (1 - Weight) + Ratio * Weight,
                                   LeastSlowness, MostSlowness);
-  Times.learn(KnowsObject, Taken, Upstream.Slowness_);
+  Upstream.SlownessAt_ = Now;
 }
 
 bool Dispatcher::canRepeat(const Job &One, base::TimePoint Now) {
@@ -187,7 +204,7 @@
   Result.Rank_ = Rank;
   const UpstreamState &Upstream = *Result.Upstream_;
   const base::Duration Work =
-      scaled(timesOf(One).expected(Rank == 0), Upstream.Slowness_);
+      scaled(timesOf(One).expected(Rank == 0), Upstream.slownessAt(Now));
   const int Slots = std::max(Upstream.Entry_.Slots_, 1);
   const int Ahead = Upstream.load() + waitingAhead(One, Upstream);
   Result.IsFree_ = Ahead < Slots;
--- a/src/libs/traffic/dispatcher.h
+++ b/src/libs/traffic/dispatcher.h
@@ -90,6 +90,8 @@
   Candidate foresee(const Job &One, std::size_t Rank, base::TimePoint Now);
   bool isColdShut(const UpstreamState &Upstream, base::TimePoint Now) const;
   int waitingAhead(const Job &One, const UpstreamState &Upstream) const;
+  static void noteSlowness(UpstreamState &Upstream, double Known, double Ratio,
+                           double Weight, base::TimePoint Now);
   WorkTimes &timesOf(const Job &One);
   Placement refuse(const Job &One, base::Duration Foreseen, const char *Reason);
 
--- a/src/libs/traffic/upstreamstate.h
+++ b/src/libs/traffic/upstreamstate.h
@@ -23,14 +23,20 @@
   int InFlightElsewhere_ = 0;
   base::TimePoint ColdUntil_{};
   base::TimePoint LastColdSend_{};
-  /// Smoothed ratio of the time that answers took to the time foreseen.
+  /// Smoothed ratio of the time that answers took to the time foreseen, as it
+  /// stood when it was last learned.
   double Slowness_ = 1.0;
+  base::TimePoint SlownessAt_{};
   /// Smoothed share of requests that were shed, reset or failed.
   double FailureShare_ = 0.0;
   int FailuresInRow_ = 0;
   base::Duration Ejection_{};
   base::TimePoint EjectedUntil_{};
 
+  /// The slowness with what time has taken from it: an upstream that gets no
+  /// work for its slowness is tried again.
+  double slownessAt(base::TimePoint Now) const;
+
   int load() const { return InFlight_ + InFlightElsewhere_; }
   int freeSlots() const { return Entry_.Slots_ - load(); }
   bool isCold(base::TimePoint Now) const { return Now < ColdUntil_; }
--- a/tests/libs/traffic/dispatchertest.cpp
+++ b/tests/libs/traffic/dispatchertest.cpp
@@ -113,6 +113,38 @@
   BOOST_TEST(!Dispatcher_.canRepeat(*One, at(1400ms)));
 }
 
+// Incident inc-8e1f: an upstream turns so slow that it answers only "deadline"
+// at the limit, while nobody refuses and nothing else fails. Its object has to
+// move after a few of them, and the upstream is tried again later.
+BOOST_AUTO_TEST_CASE(anUpstreamThatAnswersOnlyAtTheDeadlineLosesItsObjects) {
+  Table_.put(upstream("u1", "east-a", 4), at(0s));
+  Table_.put(upstream("u2", "east-a", 4), at(0s));
+  base::TimePoint Now = at(0s);
+  const auto ServeOne = [&](JobId Id, const base::UpstreamName *Slow) {
+    auto One = job(Id, Now);
+    const Placement Chosen = Dispatcher_.submit(One, Now);
+    BOOST_TEST_REQUIRE((Chosen.Verdict_ == PlacementVerdict::Send));
+    Dispatcher_.begin(Chosen, *One, Now);
+    const base::UpstreamName Name = Chosen.Upstream_->Entry_.Name_;
+    const bool IsSlow = Slow && Name == *Slow;
+    const base::Duration Taken = IsSlow ? 1500ms : 200ms;
+    Now += Taken;
+    Dispatcher_.finish(Chosen, *One,
+                       IsSlow ? AttemptResult::Failed : AttemptResult::Answered,
+                       Taken, Now);
+    return Name;
+  };
+  const base::UpstreamName Preferred = ServeOne(1, nullptr);
+  int AtSlow = 0;
+  // Successes between keep the failures in a row too few for an ejection.
+  for (JobId Id = 2; Id < 12; ++Id)
+    if (ServeOne(Id, Id % 3 == 0 ? nullptr : &Preferred) == Preferred)
+      ++AtSlow;
+  BOOST_TEST(AtSlow <= 5);
+  Now += 120s;
+  BOOST_TEST(ServeOne(20, nullptr).text() == Preferred.text());
+}
+
 // A constant overload of twice the slots: requests that are taken in are
 // answered in time, and none is refused after a long wait.
 BOOST_AUTO_TEST_CASE(underOverloadThoseTakenInAreServedInTime) {
