Let one VM of a region read the store for the others

Cause: each VM asked the store for its three tables itself, 2.4 calls a second.

Now the first current VM of a region by name reads and passes each answer on in datagrams (split at 8 KB, each part follows the one before). The others apply what has no gap and ask the store when they are behind or when their proof of freshness is older than 0.6 of the withdrawal limit (2.5 s for upstreams), so no VM depends on another one. The proof holds however late a datagram is: it counts from the receiver's own report that the news echoes, less the age that the sender gives. The paces follow the withdrawal limit of the settings.

Reports to other regions go every 600 ms, to the own one every 300 ms.

Ruled out: a longer wait at the store alone. A held question makes the proof of freshness older, which the withdrawal limit bounds (followpacestest).

--- /dev/null
+++ b/src/libs/peers/datagram.thrift
@@ -0,0 +1,59 @@
+// What the VMs of one fleet tell each other in datagrams.
+namespace cpp ebony.peers.wire
+
+/** One VM's report; sent several times a second to every other VM. */
+struct VmReport {
+  1: string name
+  /** Start of the process; a later start has a higher number. */
+  2: i64 incarnation
+  /** "ip:port" that callers use. */
+  3: string callerAddress
+  4: string zone
+  5: string region
+  6: bool isReady
+  7: bool isLeaving
+  /** Version of the quota plan that is in force. */
+  8: i64 quotaPlan
+  /** Share of a core in thousandths. */
+  9: i32 corePermille
+  /** Requests in flight by upstream; those with none are left out. */
+  10: map<string, i32> inFlight
+  /** Requests of each customer in thousandths a second. */
+  11: map<string, i32> demand
+  /** Whether the VM's knowledge of the store is fresh. */
+  12: bool isCurrent
+  /** Clock of the sender in microseconds; echoed with news. */
+  13: i64 sentUs
+}
+
+struct Row {
+  1: string key
+  2: binary value
+  3: i64 version
+  4: bool isRemoved
+}
+
+/** Changes of one of the store's tables, from a VM that read them there. */
+struct TableNews {
+  1: string table
+  /** The changes follow this version of the store ... */
+  2: i64 after
+  /** ... and are all up to this one. */
+  3: i64 version
+  4: list<Row> rows
+  /** Whether no more changes are known to the sender. */
+  5: bool isComplete
+  /** Age of the sender's knowledge when the news was sent. */
+  6: i64 ageUs
+  /** The receiver's last report that the sender had by then. */
+  7: i64 echoIncarnation
+  8: i64 echoUs
+  /** Time since the store came back after it was away; -1 for long ago. */
+  9: i64 sinceReturnUs
+}
+
+/** A datagram carries one of these. */
+struct Datagram {
+  1: optional VmReport report
+  2: optional TableNews news
+}
--- /dev/null
+++ b/src/libs/peers/datagramcodec.cpp
@@ -0,0 +1,150 @@
+#include "peers/datagramcodec.h"
+
+#include "peers/generated/datagram_types.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <cmath>
+
+namespace ebony::peers {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocol;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr double Thousand = 1000.0;
+
+std::int64_t toMicroseconds(base::TimePoint Time) {
+  return Time.time_since_epoch().count();
+}
+
+std::string toBytes(const wire::Datagram &Message) {
+  const auto Buffer = std::make_shared<TMemoryBuffer>();
+  TCompactProtocol Protocol(Buffer);
+  Message.write(&Protocol);
+  return Buffer->getBufferAsString();
+}
+
+wire::VmReport toWire(const traffic::MemberReport &Report) {
+  wire::VmReport Message;
+  Message.name = Report.Name_;
+  Message.incarnation = Report.Incarnation_;
+  Message.callerAddress = Report.CallerAddress_;
+  Message.zone = Report.Zone_.text();
+  Message.region = Report.Region_.text();
+  Message.isReady = Report.IsReady_;
+  Message.isLeaving = Report.IsLeaving_;
+  Message.isCurrent = Report.IsCurrent_;
+  Message.quotaPlan = Report.QuotaPlan_;
+  Message.corePermille = Report.CorePermille_;
+  for (const auto &[Name, Count] : Report.InFlight_)
+    Message.inFlight[Name.text()] = Count;
+  for (const auto &[Name, PerSecond] : Report.Demand_)
+    Message.demand[Name.text()] =
+        static_cast<int32_t>(std::lround(PerSecond * Thousand));
+  Message.sentUs = toMicroseconds(Report.Sent_);
+  return Message;
+}
+
+Datagram fromWire(const wire::VmReport &Message) {
+  if (Message.name.empty() || Message.callerAddress.empty())
+    return {};
+  traffic::MemberReport Report;
+  Report.Name_ = Message.name;
+  Report.Incarnation_ = Message.incarnation;
+  Report.CallerAddress_ = Message.callerAddress;
+  Report.Zone_ = base::ZoneName(Message.zone);
+  Report.Region_ = base::RegionName(Message.region);
+  Report.IsReady_ = Message.isReady;
+  Report.IsLeaving_ = Message.isLeaving;
+  Report.IsCurrent_ = Message.isCurrent;
+  Report.QuotaPlan_ = Message.quotaPlan;
+  Report.CorePermille_ = Message.corePermille;
+  for (const auto &[Name, Count] : Message.inFlight)
+    if (Count > 0)
+      Report.InFlight_[base::UpstreamName(Name)] = Count;
+  for (const auto &[Name, PerSecond] : Message.demand)
+    if (PerSecond > 0)
+      Report.Demand_[base::CustomerName(Name)] = PerSecond / Thousand;
+  Report.Sent_ = base::TimePoint(base::Duration(Message.sentUs));
+  return Report;
+}
+
+wire::TableNews toWire(const TableNews &News) {
+  wire::TableNews Message;
+  Message.table = News.Table_;
+  Message.after = News.After_;
+  Message.version = News.Changes_.Version_;
+  for (const store::Row &One : News.Changes_.Rows_) {
+    wire::Row Row;
+    Row.key = One.Key_;
+    Row.value = One.Value_;
+    Row.version = One.Version_;
+    Row.isRemoved = One.IsRemoved_;
+    Message.rows.push_back(std::move(Row));
+  }
+  Message.isComplete = News.IsComplete_;
+  Message.ageUs = News.Proof_.Age_.count();
+  Message.echoIncarnation = News.Proof_.EchoIncarnation_;
+  Message.echoUs = toMicroseconds(News.Proof_.Echo_);
+  Message.sinceReturnUs = News.SinceReturn_ ? News.SinceReturn_->count() : -1;
+  return Message;
+}
+
+Datagram fromWire(const wire::TableNews &Message) {
+  if (Message.table.empty() || Message.after < 0 ||
+      Message.version < Message.after || Message.ageUs < 0)
+    return {};
+  TableNews News;
+  News.Table_ = Message.table;
+  News.After_ = Message.after;
+  News.Changes_.Version_ = Message.version;
+  for (const wire::Row &One : Message.rows)
+    News.Changes_.Rows_.push_back(
+        {One.key, One.value, One.version, One.isRemoved});
+  News.IsComplete_ = Message.isComplete;
+  News.Proof_ = {Message.echoIncarnation,
+                 base::TimePoint(base::Duration(Message.echoUs)),
+                 base::Duration(Message.ageUs)};
+  if (Message.sinceReturnUs >= 0)
+    News.SinceReturn_ = base::Duration(Message.sinceReturnUs);
+  return News;
+}
+
+} // namespace
+
+std::string encode(const traffic::MemberReport &Report) {
+  wire::Datagram Message;
+  Message.__set_report(toWire(Report));
+  return toBytes(Message);
+}
+
+std::string encode(const TableNews &News) {
+  wire::Datagram Message;
+  Message.__set_news(toWire(News));
+  return toBytes(Message);
+}
+
+Datagram decode(const std::string &Bytes) {
+  wire::Datagram Message;
+  try {
+    std::string Copy = Bytes;
+    const auto Buffer = std::make_shared<TMemoryBuffer>(
+        reinterpret_cast<std::uint8_t *>(Copy.data()),
+        static_cast<std::uint32_t>(Copy.size()));
+    TCompactProtocol Protocol(Buffer);
+    Message.read(&Protocol);
+  } catch (const std::exception &) {
+    // Thrift reports every malformed message by an exception.
+    return {};
+  }
+  if (Message.__isset.report)
+    return fromWire(Message.report);
+  if (Message.__isset.news)
+    return fromWire(Message.news);
+  return {};
+}
+
+} // namespace ebony::peers
--- a/src/libs/traffic/memberreport.h
+++ b/src/libs/traffic/memberreport.h
@@ -2,6 +2,7 @@
 #define EBONY_TRAFFIC_MEMBERREPORT_H
 
 #include "base/name.h"
+#include "base/time.h"
 
 #include <cstdint>
 #include <map>
@@ -28,6 +29,8 @@
   /// Share of a core that the VM has, in thousandths.
   int CorePermille_ = 0;
   std::map<base::UpstreamName, int> InFlight_;
+  /// When the report was sent, by the clock of the VM that sent it.
+  base::TimePoint Sent_{};
   /// Requests a second that each customer asks for there.
   std::map<base::CustomerName, double> Demand_;
 
--- a/src/libs/traffic/membertable.cpp
+++ b/src/libs/traffic/membertable.cpp
@@ -46,6 +46,12 @@
   return Entry != Members_.end() && isLive(Entry->second, Now);
 }
 
+bool MemberTable::isInRegion(const std::string &Name,
+                             const base::RegionName &Region) const {
+  const MemberReport *Report = find(Name);
+  return Report && Report->Region_ == Region;
+}
+
 std::map<base::UpstreamName, int>
 MemberTable::inFlightElsewhere(base::TimePoint Now) const {
   std::map<base::UpstreamName, int> Result;
--- a/src/libs/traffic/membertable.h
+++ b/src/libs/traffic/membertable.h
@@ -31,6 +31,10 @@
   const MemberReport *find(const std::string &Name) const;
   bool isLive(const std::string &Name, base::TimePoint Now) const;
 
+  /// Whether a VM's last report came from \p Region.
+  bool isInRegion(const std::string &Name,
+                  const base::RegionName &Region) const;
+
   /// Requests in flight at each upstream from all other live VMs.
   std::map<base::UpstreamName, int>
   inFlightElsewhere(base::TimePoint Now) const;
--- a/src/libs/vm/knowledge.cpp
+++ b/src/libs/vm/knowledge.cpp
@@ -16,16 +16,18 @@
 Knowledge::Knowledge(VmState &State)
     : State_(State),
       Operators_(
-          State, State.Platform_.OperatorTable_, OperatorPace,
+          State, State.Platform_.OperatorTable_,
+          trustedPace(State.Bounds_.KeyWithdrawal_),
           {[this](const auto &Rows) { replaceOperatorRows(Rows); },
            [this](const auto &Rows) { changeOperatorRows(Rows); },
            [this](base::TimePoint Asked) { State_.KeyTrust_.confirm(Asked); },
            nullptr}),
-      Upstreams_(
-          State, State.Platform_.UpstreamTable_, UpstreamPace,
-          {[this](const auto &Rows) { replaceUpstreams(Rows); },
-           [this](const auto &Rows) { changeUpstreams(Rows); }, nullptr,
-           [this] { State_.Upstreams_.noteStoreReturn(State_.now()); }}) {}
+      Upstreams_(State, State.Platform_.UpstreamTable_, UpstreamPace,
+                 {[this](const auto &Rows) { replaceUpstreams(Rows); },
+                  [this](const auto &Rows) { changeUpstreams(Rows); }, nullptr,
+                  [this](base::TimePoint Since) {
+                    State_.Upstreams_.noteStoreReturn(Since);
+                  }}) {}
 
 void Knowledge::start() {
   using boost::asio::co_spawn;
--- a/src/libs/vm/peerexchange.cpp
+++ b/src/libs/vm/peerexchange.cpp
@@ -1,6 +1,6 @@
 #include "vm/peerexchange.h"
 
-#include "peers/reportcodec.h"
+#include "peers/datagramcodec.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -20,8 +20,12 @@
 constexpr base::Duration LeastGap = std::chrono::milliseconds(300);
 constexpr int MostReportsPerSecond = 60;
 
-// Largest datagram that is read.
-constexpr std::size_t MostDatagram = 8UL * 1024;
+// The same for VMs of other regions: their requests mostly run elsewhere.
+constexpr base::Duration LeastFarGap = std::chrono::milliseconds(600);
+
+// Largest datagram that is read, and bytes of rows after which news is split.
+constexpr std::size_t MostDatagram = 48UL * 1024;
+constexpr std::size_t NewsBytes = 8UL * 1024;
 
 } // namespace
 
@@ -34,6 +38,8 @@
   Socket_.open(Own.protocol());
   Socket_.bind(Own);
   Socket_.non_blocking(true);
+  State_.News_.setSender(
+      [this](const peers::TableNews &News) { sendNews(News); });
   asio::co_spawn(State_.Context_, receive(), asio::detached);
   asio::co_spawn(State_.Context_, sendRegularly(), asio::detached);
 }
@@ -70,28 +76,60 @@
 }
 
 void PeerExchange::sendReports() {
+  SentFar_ = State_.now();
   if (Peers_.empty())
     return;
-  const std::string Bytes = peers::encodeReport(State_.ownReport());
-  for (const auto &[Name, Address] : Peers_) {
-    // A lost report is made up for by the next one.
-    error_code Ignored;
-    Socket_.send_to(asio::buffer(Bytes), Address, 0, Ignored);
-  }
+  const std::string Bytes = peers::encode(State_.ownReport());
+  for (const auto &[Name, Address] : Peers_)
+    send(Bytes, Address);
 }
 
 asynckit::awaitable<void> PeerExchange::sendRegularly() {
   for (;;) {
-    sendReports();
-    const base::Duration Gap = std::max<base::Duration>(
-        LeastGap, std::chrono::microseconds(1'000'000 * Peers_.size() /
-                                            MostReportsPerSecond));
-    Timer_.expires_after(Gap);
+    std::size_t Near = 0;
+    for (const auto &[Name, Address] : Peers_)
+      if (State_.Members_.isInRegion(Name, State_.Settings_.Region_))
+        ++Near;
+    if (State_.now() - SentFar_ >= gapFor(Peers_.size() - Near, LeastFarGap)) {
+      sendReports();
+    } else {
+      const std::string Bytes = peers::encode(State_.ownReport());
+      for (const auto &[Name, Address] : Peers_)
+        if (State_.Members_.isInRegion(Name, State_.Settings_.Region_))
+          send(Bytes, Address);
+    }
+    Timer_.expires_after(gapFor(Near, LeastGap));
     error_code Ignored; // A cancelled wait sends the next report early.
     co_await Timer_.async_wait(into(Ignored));
   }
 }
 
+base::Duration PeerExchange::gapFor(std::size_t Count, base::Duration Least) {
+  return std::max<base::Duration>(
+      Least,
+      std::chrono::microseconds(1'000'000 * Count / MostReportsPerSecond));
+}
+
+void PeerExchange::sendNews(const peers::TableNews &News) {
+  for (peers::TableNews &Part :
+       peers::splitNews(News, NewsBytes, MostDatagram - NewsBytes)) {
+    for (const auto &[Name, Address] : Peers_) {
+      const traffic::MemberReport *Report = State_.Members_.find(Name);
+      if (!Report || Report->Region_ != State_.Settings_.Region_)
+        continue;
+      Part.Proof_.EchoIncarnation_ = Report->Incarnation_;
+      Part.Proof_.Echo_ = Report->Sent_;
+      send(peers::encode(Part), Address);
+    }
+  }
+}
+
+void PeerExchange::send(const std::string &Bytes, const udp::endpoint &To) {
+  // What is lost is made up for by the next one.
+  error_code Ignored;
+  Socket_.send_to(asio::buffer(Bytes), To, 0, Ignored);
+}
+
 asynckit::awaitable<void> PeerExchange::receive() {
   std::string Bytes;
   for (;;) {
@@ -104,22 +142,28 @@
     if (Error)
       continue;
     Bytes.resize(Size);
-    takeReport(Bytes);
+    take(Bytes);
   }
 }
 
-void PeerExchange::takeReport(const std::string &Bytes) {
-  const auto Report = peers::decodeReport(Bytes);
-  if (!Report) {
-    State_.log(EventLine("vm-report-malformed")
-                   .add("bytes", static_cast<std::int64_t>(Bytes.size())));
+void PeerExchange::take(const std::string &Bytes) {
+  const peers::Datagram Got = peers::decode(Bytes);
+  if (const auto *Report = std::get_if<traffic::MemberReport>(&Got)) {
+    takeReport(*Report);
     return;
   }
-  if (State_.Members_.take(*Report, State_.now()))
+  const auto *News = std::get_if<peers::TableNews>(&Got);
+  if (!News || !State_.News_.deliver(*News))
+    State_.log(EventLine("vm-datagram-malformed")
+                   .add("bytes", static_cast<std::int64_t>(Bytes.size())));
+}
+
+void PeerExchange::takeReport(const traffic::MemberReport &Report) {
+  if (State_.Members_.take(Report, State_.now()))
     State_.log(EventLine("vm-seen")
-                   .add("name", Report->Name_)
-                   .add("zone", Report->Zone_.text())
-                   .add("incarnation", Report->Incarnation_));
+                   .add("name", Report.Name_)
+                   .add("zone", Report.Zone_.text())
+                   .add("incarnation", Report.Incarnation_));
 }
 
 } // namespace ebony::vm
--- a/src/libs/vm/peerexchange.h
+++ b/src/libs/vm/peerexchange.h
@@ -32,13 +32,20 @@
   asynckit::awaitable<void> receive();
   asynckit::awaitable<void> sendRegularly();
   void takeRow(const store::Row &Row);
-  void takeReport(const std::string &Bytes);
+  void take(const std::string &Bytes);
+  void takeReport(const traffic::MemberReport &Report);
+  /// Passes news of the store on to the other VMs of this region.
+  void sendNews(const peers::TableNews &News);
+  void send(const std::string &Bytes, const boost::asio::ip::udp::endpoint &To);
+  /// Time between reports to \p Count VMs.
+  static base::Duration gapFor(std::size_t Count, base::Duration Least);
 
   VmState &State_;
   boost::asio::ip::udp::socket Socket_;
   boost::asio::steady_timer Timer_;
   std::map<std::string, boost::asio::ip::udp::endpoint> Peers_;
   bool IsListed_ = false;
+  base::TimePoint SentFar_{std::chrono::hours(-1)};
 };
 
 } // namespace ebony::vm
--- a/src/libs/vm/tablefollower.h
+++ b/src/libs/vm/tablefollower.h
@@ -2,6 +2,7 @@
 #define EBONY_VM_TABLEFOLLOWER_H
 
 #include "asynckit/awaiting.h"
+#include "store/followedtable.h"
 #include "vm/followpaces.h"
 #include "vm/vmstate.h"
 
@@ -17,15 +18,15 @@
   std::function<void(const std::vector<store::Row> &)> Replace_;
   /// Rows that were written or removed since.
   std::function<void(const std::vector<store::Row> &)> Change_;
-  /// The store answered to a question that was sent at the time given, and all
-  /// it said has been told.
+  /// At the time given the store held nothing else than what has been told.
   std::function<void(base::TimePoint)> Confirmed_;
-  /// The store answers again after it did not.
-  std::function<void()> Regained_;
+  /// The store answers again since the time given, after it did not.
+  std::function<void(base::TimePoint)> Regained_;
 };
 
 /// Follows one table of the store by its changes, and reads it anew when its
-/// history is gone.
+/// history is gone. One VM of a region asks the store and passes its changes
+/// on; the others ask when they have not heard of it for too long.
 class TableFollower {
 public:
   TableFollower(VmState &State, std::string Table, FollowPace Pace,
@@ -38,7 +39,15 @@
   void hurry() { Pause_.cancel(); }
 
 private:
-  asynckit::awaitable<store::StoreStatus> readOnce();
+  asynckit::awaitable<store::StoreStatus> readOnce(bool MayWait);
+  /// Waits until it is this VM's turn to ask. True when it may wait at the
+  /// store for changes.
+  asynckit::awaitable<bool> awaitTurn();
+  void publish(std::int64_t After, const store::Rows &Changes);
+  void takeNews(const peers::TableNews &News);
+  void take(const std::vector<store::Row> &Rows);
+  void confirm();
+  void noteRegained(base::TimePoint Since);
   asynckit::awaitable<void> pause(base::Duration Span);
   void noteStatus(store::StoreStatus Status);
 
@@ -48,8 +57,11 @@
   TableListener Listener_;
   std::unique_ptr<store::RowStore> Store_;
   boost::asio::steady_timer Pause_;
-  std::int64_t Version_ = -1;
+  store::FollowedTable Followed_;
   bool IsLost_ = false;
+  /// Whether news has shown that changes are missing here.
+  bool IsBehind_ = false;
+  base::TimePoint Regained_{std::chrono::hours(-1)};
   base::Duration Retry_{};
 };
 
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -48,7 +48,7 @@
     : Context_(Context), State_(State), Desk_(State), Knowledge_(State),
       Peers_(State), Quota_(State),
       VmTable_(
-          State, VmTableName, VmTablePace,
+          State, VmTableName, trustedPace(State.Bounds_.KeyWithdrawal_),
           {[this](const std::vector<store::Row> &Rows) {
              Peers_.replaceRows({});
              changeVmTable(Rows);
--- a/src/libs/vm/vmstate.cpp
+++ b/src/libs/vm/vmstate.cpp
@@ -41,8 +41,12 @@
   return std::max<std::size_t>(Regions.size(), 1);
 }
 
+base::Duration part(base::Duration Whole, double Part) {
+  return base::fromSeconds(base::toSeconds(Whole) * Part);
+}
+
 base::Duration trustLimit(const FleetBounds &Bounds) {
-  return base::fromSeconds(base::toSeconds(Bounds.KeyWithdrawal_) * TrustPart);
+  return part(Bounds.KeyWithdrawal_, TrustPart);
 }
 
 std::string toText(const boost::asio::ip::tcp::endpoint &Endpoint) {
@@ -72,7 +76,7 @@
       Budget_(Bounds_.RetryRatio_, Bounds_.RetrySlack_, Bounds_.RetryWindow_),
       Directory_(MostNamed, base::RandomEngine(Seed + 1)), Links_(Context) {}
 
-traffic::MemberReport VmState::ownReport() const {
+traffic::MemberReport VmState::ownIdentity() const {
   constexpr double Permille = 1000;
   traffic::MemberReport Report;
   Report.Name_ = Settings_.Name_;
@@ -83,10 +87,17 @@
   Report.IsReady_ = isReady();
   Report.IsLeaving_ = IsStopping_;
   Report.IsCurrent_ =
-      KeyTrust_.age(now()) < CurrentAge && PlanTrust_.holds(now());
+      KeyTrust_.age(now()) < part(Bounds_.KeyWithdrawal_, CurrentPart) &&
+      PlanTrust_.holds(now());
   Report.QuotaPlan_ = Quota_.plan().Version_;
   Report.CorePermille_ =
       static_cast<int>(std::lround(Settings_.CoreShare_ * Permille));
+  Report.Sent_ = now();
+  return Report;
+}
+
+traffic::MemberReport VmState::ownReport() const {
+  traffic::MemberReport Report = ownIdentity();
   for (const auto &[Name, Upstream] : Upstreams_.all())
     if (Upstream->InFlight_ > 0)
       Report.InFlight_[Name] = Upstream->InFlight_;
--- a/src/libs/vm/vmstate.h
+++ b/src/libs/vm/vmstate.h
@@ -12,6 +12,7 @@
 #include "traffic/retrybudget.h"
 #include "traffic/splitchooser.h"
 #include "vm/fleetbounds.h"
+#include "vm/newsboard.h"
 #include "vm/platformbinding.h"
 #include "vm/upstreamlinks.h"
 #include "vm/vmmetrics.h"
@@ -33,9 +34,17 @@
     Log_.write(Line, Weight, now());
   }
 
+  /// The part of the report that names this VM and its condition.
+  traffic::MemberReport ownIdentity() const;
+
   /// This VM's report as it stands now.
   traffic::MemberReport ownReport() const;
 
+  /// Whether this VM reads the store for the others of its region.
+  bool readsForRegion() const {
+    return traffic::readsForRegion(ownIdentity(), Members_, now());
+  }
+
   /// Whether callers may be sent here.
   bool isReady() const { return Rules_ && KnowsUpstreams_ && !IsStopping_; }
 
@@ -62,6 +71,7 @@
   traffic::EntryDirectory Directory_;
   traffic::SplitChooser Splits_;
   UpstreamLinks Links_;
+  NewsBoard News_;
   bool KnowsUpstreams_ = false;
   bool IsStopping_ = false;
   /// Whether the stop has come so far that no request is taken in any more.
--- /dev/null
+++ b/tests/libs/peers/datagramcodectest.cpp
@@ -0,0 +1,77 @@
+#include "peers/datagramcodec.h"
+#include "base/randomengine.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace ebony;
+using namespace ebony::peers;
+
+namespace {
+
+traffic::MemberReport report() {
+  traffic::MemberReport Report;
+  Report.Name_ = "vm1";
+  Report.Incarnation_ = 1234567890123;
+  Report.CallerAddress_ = "10.0.0.1:80";
+  Report.Zone_ = base::ZoneName("east-a");
+  Report.Region_ = base::RegionName("east");
+  Report.IsReady_ = true;
+  Report.IsCurrent_ = true;
+  Report.QuotaPlan_ = 9;
+  Report.CorePermille_ = 200;
+  Report.InFlight_[base::UpstreamName("u1")] = 3;
+  Report.Demand_[base::CustomerName("atlas")] = 12.5;
+  Report.Sent_ = base::TimePoint(std::chrono::seconds(9));
+  return Report;
+}
+
+TableNews news() {
+  TableNews News;
+  News.Table_ = "servers";
+  News.After_ = 7;
+  News.Changes_.Rows_ = {{"u1", std::string("a\0b", 3), 8, false},
+                         {"u2", "", 9, true}};
+  News.Changes_.Version_ = 9;
+  News.Proof_ = {5, base::TimePoint(std::chrono::seconds(3)),
+                 std::chrono::milliseconds(20)};
+  News.SinceReturn_ = std::chrono::milliseconds(400);
+  return News;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(datagramcodectest)
+
+BOOST_AUTO_TEST_CASE(aReportIsReadBackAsItWasSent) {
+  const Datagram Read = decode(encode(report()));
+  const auto *Report = std::get_if<traffic::MemberReport>(&Read);
+  BOOST_TEST_REQUIRE(Report != nullptr);
+  BOOST_TEST((*Report == report()));
+}
+
+BOOST_AUTO_TEST_CASE(newsIsReadBackAsItWasSent) {
+  const Datagram Read = decode(encode(news()));
+  const auto *News = std::get_if<TableNews>(&Read);
+  BOOST_TEST_REQUIRE(News != nullptr);
+  BOOST_TEST((*News == news()));
+}
+
+// Damaged datagrams are refused or read as something; nothing else happens.
+BOOST_AUTO_TEST_CASE(damagedDatagramsDoNoHarm) {
+  base::RandomEngine Random(42);
+  for (const std::string &Whole : {encode(report()), encode(news())}) {
+    for (int Round = 0; Round < 20000; ++Round) {
+      std::string Bytes = Whole.substr(0, Random.below(Whole.size() + 1));
+      for (int I = 0; I < 3 && !Bytes.empty(); ++I)
+        Bytes[Random.below(Bytes.size())] =
+            static_cast<char>(Random.below(256));
+      const Datagram Read = decode(Bytes);
+      if (const auto *Report = std::get_if<traffic::MemberReport>(&Read))
+        BOOST_TEST(!Report->Name_.empty());
+      if (const auto *News = std::get_if<TableNews>(&Read))
+        BOOST_TEST(!News->Table_.empty());
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libs/traffic/memberstest.cpp
+++ b/tests/libs/traffic/memberstest.cpp
@@ -1,5 +1,6 @@
 #include "libs/traffic/fixtures.h"
 #include "traffic/entrydirectory.h"
+#include "traffic/storereaders.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -84,4 +85,27 @@
   BOOST_TEST(Members_.inFlightElsewhere(at(5s)).empty());
 }
 
+BOOST_AUTO_TEST_CASE(theFirstCurrentVmOfARegionReadsForIt) {
+  const MemberReport Own = report("vm5", "east-a");
+  BOOST_TEST(readsForRegion(Own, Members_, at(0s)));
+  Members_.take(report("vm1", "west-a"), at(0s));
+  BOOST_TEST(readsForRegion(Own, Members_, at(0s)));
+  MemberReport Cut = report("vm2", "east-b");
+  Cut.IsCurrent_ = false;
+  Members_.take(Cut, at(0s));
+  BOOST_TEST(readsForRegion(Own, Members_, at(0s)));
+  Members_.take(report("vm3", "east-b"), at(0s));
+  BOOST_TEST(!readsForRegion(Own, Members_, at(0s)));
+  // It falls silent.
+  BOOST_TEST(readsForRegion(Own, Members_, at(3s)));
+  Members_.take(report("vm3", "east-b"), at(4s));
+  MemberReport Leaving = report("vm3", "east-b");
+  Leaving.IsLeaving_ = true;
+  Members_.take(Leaving, at(5s));
+  BOOST_TEST(readsForRegion(Own, Members_, at(5s)));
+  MemberReport OwnCut = Own;
+  OwnCut.IsCurrent_ = false;
+  BOOST_TEST(!readsForRegion(OwnCut, Members_, at(5s)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libs/vm/followpacestest.cpp
+++ b/tests/libs/vm/followpacestest.cpp
@@ -14,9 +14,24 @@
   constexpr base::Duration RoundTrip = std::chrono::milliseconds(200);
   const base::Duration Trusted = base::fromSeconds(
       base::toSeconds(FleetBounds().KeyWithdrawal_) * TrustPart);
-  BOOST_TEST((2 * OperatorPace.Wait_ + RoundTrip < Trusted));
-  BOOST_TEST((2 * VmTablePace.Wait_ + RoundTrip < Trusted));
-  BOOST_TEST((2 * OperatorPace.Wait_ + RoundTrip < CurrentAge));
+  const FollowPace Pace = trustedPace(FleetBounds().KeyWithdrawal_);
+  const base::Duration Current = base::fromSeconds(
+      base::toSeconds(FleetBounds().KeyWithdrawal_) * CurrentPart);
+  BOOST_TEST((2 * Pace.Wait_ + RoundTrip < Trusted));
+  BOOST_TEST((2 * Pace.Wait_ + RoundTrip < Current));
+  // A VM that lives on news asks the store before its trust ends, with time for
+  // a repeat, and it still counts as current when it does.
+  constexpr base::Duration Repeat = std::chrono::milliseconds(800);
+  BOOST_TEST((Pace.RestAge_ + Repeat + RoundTrip < Trusted));
+  BOOST_TEST((Pace.RestAge_ + RoundTrip < Current));
+}
+
+// Upstreams that drain or are gone get nothing more after 3 s: a VM whose
+// region's reader has ended asks before that.
+BOOST_AUTO_TEST_CASE(leavingUpstreamsAreKnownInTime) {
+  constexpr base::Duration RoundTrip = std::chrono::milliseconds(200);
+  constexpr base::Duration DrainBound = std::chrono::seconds(3);
+  BOOST_TEST((UpstreamPace.RestAge_ + RoundTrip < DrainBound));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
