Lend a customer's share between VMs; hold it at two VMs a region

Cause: a customer's rate was split over all VMs by demand.

Now the plan gives a customer's rate to two VMs a region, drawn by hash, split between the regions by demand. A VM whose own share has nothing asks up to three holders, those of its region first, for one request each; a holder that has nothing is not asked again until it may have something. The sum of shares is bounded as before.

The plan now names former holders; aVmThatStartsWaitsForFormerHolders.

Replaced check: sharesAreReadBackRoundedDown asked for a share of zero for a VM without one; it now asks that the VM is not named, which is as strict.

Ruled out: one holder a region (its end takes the region's whole part with it).

--- a/src/libs/peers/datagram.thrift
+++ b/src/libs/peers/datagram.thrift
@@ -52,8 +52,23 @@
   9: i64 sinceReturnUs
 }
 
+/** Asks a VM for one request of a customer out of its share. */
+struct TokenAsk {
+  1: i64 id
+  2: string customer
+}
+
+struct TokenAnswer {
+  1: i64 id
+  2: bool isGranted
+  /** Time until the share may have something again. */
+  3: i64 pauseUs
+}
+
 /** A datagram carries one of these. */
 struct Datagram {
   1: optional VmReport report
   2: optional TableNews news
+  3: optional TokenAsk ask
+  4: optional TokenAnswer answer
 }
--- a/src/libs/peers/datagramcodec.cpp
+++ b/src/libs/peers/datagramcodec.cpp
@@ -5,6 +5,7 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
 #include <cmath>
 
 namespace ebony::peers {
@@ -127,6 +128,25 @@
   return toBytes(Message);
 }
 
+std::string encode(const TokenAsk &Ask) {
+  wire::TokenAsk Inner;
+  Inner.id = Ask.Id_;
+  Inner.customer = Ask.Customer_.text();
+  wire::Datagram Message;
+  Message.__set_ask(Inner);
+  return toBytes(Message);
+}
+
+std::string encode(const TokenAnswer &Answer) {
+  wire::TokenAnswer Inner;
+  Inner.id = Answer.Id_;
+  Inner.isGranted = Answer.IsGranted_;
+  Inner.pauseUs = Answer.Pause_.count();
+  wire::Datagram Message;
+  Message.__set_answer(Inner);
+  return toBytes(Message);
+}
+
 Datagram decode(const std::string &Bytes) {
   wire::Datagram Message;
   try {
@@ -144,6 +164,12 @@
     return fromWire(Message.report);
   if (Message.__isset.news)
     return fromWire(Message.news);
+  if (Message.__isset.ask)
+    return TokenAsk{Message.ask.id, base::CustomerName(Message.ask.customer)};
+  if (Message.__isset.answer)
+    return TokenAnswer{
+        Message.answer.id, Message.answer.isGranted,
+        base::Duration(std::max<std::int64_t>(Message.answer.pauseUs, 0))};
   return {};
 }
 
--- a/src/libs/traffic/quotagate.cpp
+++ b/src/libs/traffic/quotagate.cpp
@@ -36,11 +36,9 @@
     return;
   if (IsSettled_)
     Holders_.clear();
-  for (const QuotaPlan *One : {static_cast<const QuotaPlan *>(&Plan_), &Plan})
-    for (const auto &[Customer, Shares] : One->Customers_)
-      for (const auto &[Vm, Share] : Shares)
-        if (Vm != OwnName_)
-          Holders_.insert(Vm);
+  Holders_.insert(Plan_.Vms_.begin(), Plan_.Vms_.end());
+  Holders_.insert(Plan.Vms_.begin(), Plan.Vms_.end());
+  Holders_.erase(OwnName_);
   Plan_ = Plan;
   PlanSeen_ = Now;
   IsSettled_ = false;
@@ -70,6 +68,20 @@
   Own.Demand_ =
       fadedDemand(Own.Demand_, Now - Own.DemandAt_) + 1.0 / DemandSeconds;
   Own.DemandAt_ = Now;
+  return takeFrom(Own, Now);
+}
+
+std::optional<base::Duration>
+QuotaGate::lend(const base::CustomerName &Customer, base::TimePoint Now) {
+  const auto Entry = Buckets_.find(Customer);
+  // Unknown here: its limit cannot be kept.
+  if (Entry == Buckets_.end())
+    return NoShareRetry;
+  return takeFrom(Entry->second, Now);
+}
+
+std::optional<base::Duration> QuotaGate::takeFrom(Bucket &Own,
+                                                  base::TimePoint Now) {
   if (Own.Rate_ <= 0)
     return std::nullopt;
   refill(Own, Now);
@@ -84,12 +96,6 @@
       std::clamp((1 - Own.Tokens_) / PerSecond, 0.05, 2.0));
 }
 
-void QuotaGate::giveBack(const base::CustomerName &Customer) {
-  const auto Entry = Buckets_.find(Customer);
-  if (Entry != Buckets_.end())
-    Entry->second.Tokens_ += 1;
-}
-
 std::map<base::CustomerName, double>
 QuotaGate::demand(base::TimePoint Now) const {
   std::map<base::CustomerName, double> Result;
@@ -103,7 +109,8 @@
 
 void QuotaGate::refill(Bucket &One, base::TimePoint Now) const {
   // A bucket holds at least one token, so that a small share is usable.
-  const double Most = std::max(1.0, One.Burst_ * One.Share_ * Overuse_);
+  const double Most =
+      One.Share_ <= 0 ? 0.0 : std::max(1.0, One.Burst_ * One.Share_ * Overuse_);
   const double Gained =
       base::toSeconds(Now - One.Filled_) * One.Rate_ * One.Share_ * Overuse_;
   One.Tokens_ = std::min(One.Tokens_ + std::max(Gained, 0.0), Most);
--- a/src/libs/traffic/quotagate.h
+++ b/src/libs/traffic/quotagate.h
@@ -42,8 +42,10 @@
   std::optional<base::Duration> refuseFor(const base::CustomerName &Customer,
                                           base::TimePoint Now);
 
-  /// Gives back what an admitted request did not use.
-  void giveBack(const base::CustomerName &Customer);
+  /// Takes one request for another VM, whose demand it is; else the time until
+  /// the next may come.
+  std::optional<base::Duration> lend(const base::CustomerName &Customer,
+                                     base::TimePoint Now);
 
   const QuotaPlan &plan() const { return Plan_; }
   bool isSettled() const { return IsSettled_; }
@@ -62,6 +64,7 @@
     base::TimePoint DemandAt_{};
   };
 
+  std::optional<base::Duration> takeFrom(Bucket &Own, base::TimePoint Now);
   void refill(Bucket &One, base::TimePoint Now) const;
   void applyShares(base::TimePoint Now);
 
--- a/src/libs/traffic/quotaplan.h
+++ b/src/libs/traffic/quotaplan.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace ebony::traffic {
@@ -27,6 +28,12 @@
 struct QuotaPlan {
   std::int64_t Version_ = 0;
   std::map<base::CustomerName, QuotaShares> Customers_;
+  /// All VMs that hold a share in this plan or held one in the plan before: a
+  /// VM that starts has to wait for the latter too.
+  std::set<std::string> Vms_;
+
+  /// VMs that hold a share of any customer in this plan.
+  std::set<std::string> holders() const;
 
   friend bool operator==(const QuotaPlan &, const QuotaPlan &) = default;
 };
--- a/src/libs/vm/callersession.cpp
+++ b/src/libs/vm/callersession.cpp
@@ -98,8 +98,8 @@
 } // namespace
 
 CallerSession::CallerSession(VmState &State, DispatchDesk &Desk,
-                             asio::ip::tcp::socket Socket)
-    : State_(State), Desk_(Desk), Socket_(std::move(Socket)),
+                             TokenDesk &Tokens, asio::ip::tcp::socket Socket)
+    : State_(State), Desk_(Desk), Tokens_(Tokens), Socket_(std::move(Socket)),
       Watch_(std::make_shared<CallerWatch>(Socket_)), Timer_(State.Deadlines_) {
   error_code Ignored; // The socket works without these, only less promptly.
   Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
@@ -273,8 +273,7 @@
       co_return;
     }
     Request_.Customer_ = Customer->Name_.text();
-    const auto Pause =
-        State_.Quota_.refuseFor(Customer->Name_, Outcome_.Started_);
+    const auto Pause = co_await Tokens_.admit(Customer->Name_);
     if (Pause) {
       co_await refuse(429, "over-quota", *Pause);
       co_return;
--- a/src/libs/vm/callersession.h
+++ b/src/libs/vm/callersession.h
@@ -5,6 +5,7 @@
 #include "vm/dispatchdesk.h"
 #include "vm/exchange.h"
 #include "vm/requestoutcome.h"
+#include "vm/tokendesk.h"
 
 #include <boost/intrusive/list.hpp>
 
@@ -17,7 +18,7 @@
       public boost::intrusive::list_base_hook<
           boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
 public:
-  CallerSession(VmState &State, DispatchDesk &Desk,
+  CallerSession(VmState &State, DispatchDesk &Desk, TokenDesk &Tokens,
                 boost::asio::ip::tcp::socket Socket);
   ~CallerSession();
 
@@ -58,6 +59,7 @@
 
   VmState &State_;
   DispatchDesk &Desk_;
+  TokenDesk &Tokens_;
   boost::asio::ip::tcp::socket Socket_;
   std::shared_ptr<CallerWatch> Watch_;
   asynckit::Deadline Timer_;
--- a/src/libs/vm/peerexchange.cpp
+++ b/src/libs/vm/peerexchange.cpp
@@ -142,16 +142,32 @@
     if (Error)
       continue;
     Bytes.resize(Size);
-    take(Bytes);
+    take(Bytes, From);
   }
 }
 
-void PeerExchange::take(const std::string &Bytes) {
+void PeerExchange::ask(const std::string &Vm, const peers::TokenAsk &Ask) {
+  const auto Entry = Peers_.find(Vm);
+  if (Entry != Peers_.end())
+    send(peers::encode(Ask), Entry->second);
+}
+
+void PeerExchange::take(const std::string &Bytes, const udp::endpoint &From) {
   const peers::Datagram Got = peers::decode(Bytes);
   if (const auto *Report = std::get_if<traffic::MemberReport>(&Got)) {
     takeReport(*Report);
     return;
   }
+  if (const auto *Ask = std::get_if<peers::TokenAsk>(&Got)) {
+    if (AnswerAsk_)
+      send(peers::encode(AnswerAsk_(*Ask)), From);
+    return;
+  }
+  if (const auto *Answer = std::get_if<peers::TokenAnswer>(&Got)) {
+    if (TakeAnswer_)
+      TakeAnswer_(*Answer);
+    return;
+  }
   const auto *News = std::get_if<peers::TableNews>(&Got);
   if (!News || !State_.News_.deliver(*News))
     State_.log(EventLine("vm-datagram-malformed")
--- a/src/libs/vm/peerexchange.h
+++ b/src/libs/vm/peerexchange.h
@@ -1,6 +1,7 @@
 #ifndef EBONY_VM_PEEREXCHANGE_H
 #define EBONY_VM_PEEREXCHANGE_H
 
+#include "peers/tokenmessages.h"
 #include "vm/tablefollower.h"
 
 #include <boost/asio/ip/udp.hpp>
@@ -25,6 +26,17 @@
   /// Sends this VM's report to all others now.
   void sendReports();
 
+  /// Asks the VM of that name; nothing is sent to one that is not listed.
+  void ask(const std::string &Vm, const peers::TokenAsk &Ask);
+
+  /// Who answers questions of other VMs, and who takes their answers.
+  void
+  setTokenTakers(std::function<peers::TokenAnswer(const peers::TokenAsk &)> Ask,
+                 std::function<void(const peers::TokenAnswer &)> Answer) {
+    AnswerAsk_ = std::move(Ask);
+    TakeAnswer_ = std::move(Answer);
+  }
+
   /// Whether this VM stands in the table.
   bool isListed() const { return IsListed_; }
 
@@ -32,7 +44,8 @@
   asynckit::awaitable<void> receive();
   asynckit::awaitable<void> sendRegularly();
   void takeRow(const store::Row &Row);
-  void take(const std::string &Bytes);
+  void take(const std::string &Bytes,
+            const boost::asio::ip::udp::endpoint &From);
   void takeReport(const traffic::MemberReport &Report);
   /// Passes news of the store on to the other VMs of this region.
   void sendNews(const peers::TableNews &News);
@@ -44,6 +57,8 @@
   boost::asio::ip::udp::socket Socket_;
   boost::asio::steady_timer Timer_;
   std::map<std::string, boost::asio::ip::udp::endpoint> Peers_;
+  std::function<peers::TokenAnswer(const peers::TokenAsk &)> AnswerAsk_;
+  std::function<void(const peers::TokenAnswer &)> TakeAnswer_;
   bool IsListed_ = false;
   base::TimePoint SentFar_{std::chrono::hours(-1)};
 };
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -47,6 +47,10 @@
 VmDaemon::VmDaemon(asio::io_context &Context, VmState &State)
     : Context_(Context), State_(State), Desk_(State), Knowledge_(State),
       Peers_(State), Quota_(State),
+      Tokens_(State,
+              [this](const std::string &Vm, const peers::TokenAsk &Ask) {
+                Peers_.ask(Vm, Ask);
+              }),
       VmTable_(
           State, VmTableName, trustedPace(State.Bounds_.KeyWithdrawal_),
           {[this](const std::vector<store::Row> &Rows) {
@@ -69,6 +73,9 @@
                  return answerMetrics(Path);
                }),
       Callers_(Context), Signals_(Context, SIGTERM, SIGINT, SIGHUP) {
+  Peers_.setTokenTakers(
+      [this](const peers::TokenAsk &Ask) { return Tokens_.answer(Ask); },
+      [this](const peers::TokenAnswer &Answer) { Tokens_.takeAnswer(Answer); });
   Callers_.open(State.Settings_.Callers_.protocol());
   Callers_.set_option(tcp::acceptor::reuse_address(true));
   Callers_.bind(State.Settings_.Callers_);
@@ -119,8 +126,8 @@
       co_await Pause.async_wait(into(Error));
       continue;
     }
-    const auto Session =
-        std::make_shared<CallerSession>(State_, Desk_, std::move(Socket));
+    const auto Session = std::make_shared<CallerSession>(State_, Desk_, Tokens_,
+                                                         std::move(Socket));
     Sessions_.push_back(*Session);
     asio::co_spawn(Context_, CallerSession::run(Session), asio::detached);
   }
--- a/src/libs/vm/vmdaemon.h
+++ b/src/libs/vm/vmdaemon.h
@@ -6,6 +6,7 @@
 #include "vm/peerexchange.h"
 #include "vm/plainserver.h"
 #include "vm/quotakeeper.h"
+#include "vm/tokendesk.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -38,6 +39,7 @@
   Knowledge Knowledge_;
   PeerExchange Peers_;
   QuotaKeeper Quota_;
+  TokenDesk Tokens_;
   TableFollower VmTable_;
   PlainServer Readiness_;
   PlainServer Directory_;
