Tell a request that was not taken in yet by a flag, not by equal times

Cause: the refusal at overload (nothing is taken in that cannot be answered within 0.9 of the objective) asked whether the time of the decision equals the time of arrival. The virtual-time test passed the same time twice and could not see it.

Now a job notes when it was taken in. aRequestThatWasReadSlowlyIsRefusedAtOverloadToo submits 3 ms after the arrival: 0 of 20 refused before, bound 15.

--- a/src/libs/traffic/dispatcher.cpp
+++ b/src/libs/traffic/dispatcher.cpp
@@ -163,11 +163,11 @@
   const base::Duration Usable = scaled(Left, UsableTime);
   if (Best->Foreseen_ > Usable)
     return refuse(One, Best->Foreseen_, "too-late");
-  const bool IsNew = One.Tried_.empty() && Now == One.Arrived_;
-  if (IsNew && !Best->IsFree_ &&
+  if (!One.IsAdmitted_ && !Best->IsFree_ &&
       Now + Best->Foreseen_ >
           One.Arrived_ + scaled(One.Due_ - One.Arrived_, DuePart))
     return refuse(One, Best->Foreseen_, "overload");
+  One.IsAdmitted_ = true;
   Placement Result;
   Result.Foreseen_ = Best->Foreseen_;
   Result.Rank_ = Best->Rank_;
--- a/src/libs/traffic/job.h
+++ b/src/libs/traffic/job.h
@@ -28,6 +28,8 @@
   base::TimePoint Due_{};
   /// No answer after this reaches the caller.
   base::TimePoint Limit_{};
+  /// Whether it was taken in: it waited for a slot or was sent.
+  bool IsAdmitted_ = false;
   /// Upstreams in the order of preference.
   std::vector<UpstreamPtr> Order_;
   /// Upstreams that the request was sent to.
--- a/tests/libs/traffic/dispatchertest.cpp
+++ b/tests/libs/traffic/dispatchertest.cpp
@@ -145,6 +145,22 @@
   BOOST_TEST(ServeOne(20, nullptr).text() == Preferred.text());
 }
 
+// Some time passes between a caller's first byte and the decision, for a body
+// or a borrowed token; the request is no less new for it.
+BOOST_AUTO_TEST_CASE(aRequestThatWasReadSlowlyIsRefusedAtOverloadToo) {
+  Table_.put(upstream("u1", "east-a", 1), at(0s));
+  std::size_t Refused = 0;
+  for (JobId Id = 1; Id <= 20; ++Id) {
+    auto One = job(Id, at(0s));
+    const Placement Found = Dispatcher_.submit(One, at(3ms));
+    if (Found.Verdict_ == PlacementVerdict::Send)
+      Dispatcher_.begin(Found, *One, at(3ms));
+    if (Found.Reason_ == "overload")
+      ++Refused;
+  }
+  BOOST_TEST(Refused >= 15U);
+}
+
 // A constant overload of twice the slots: requests that are taken in are
 // answered in time, and none is refused after a long wait.
 BOOST_AUTO_TEST_CASE(underOverloadThoseTakenInAreServedInTime) {
