Split the caller session into reader, writer, attempt tally and job maker

No change of behaviour.

Found on the way: GCC 12 destroys a braced temporary in a co_await expression twice; requestpathtest crashed on it. The value is named now.

--- a/src/libs/vm/callersession.cpp
+++ b/src/libs/vm/callersession.cpp
@@ -1,10 +1,8 @@
 #include "vm/callersession.h"
 
-#include "base/hashing.h"
 #include "vm/headerfields.h"
+#include "vm/jobmaker.h"
 
-#include <boost/asio/write.hpp>
-#include <boost/beast/http/read.hpp>
 #include <netinet/tcp.h>
 
 #include <array>
@@ -30,8 +28,6 @@
 // Body of a request that is kept so that it can be sent to another upstream;
 // longer ones are passed on as they come and sent once.
 constexpr std::size_t MostKeptBody = 512UL * 1024;
-constexpr std::size_t PieceBytes = 8UL * 1024;
-
 // Time for a caller that sends no deadline.
 constexpr base::Duration DefaultDeadline = std::chrono::seconds(30);
 
@@ -42,10 +38,6 @@
 // Advice to callers of a VM that is about to end: another one takes them.
 constexpr base::Duration StoppingRetryAfter = std::chrono::milliseconds(50);
 
-// Upstreams that a request may fail to reach before it is given up; nothing
-// was sent to them, so they count towards no budget.
-constexpr int MostUnreachable = 3;
-
 // Longest time to open a connection: a few round trips between regions.
 constexpr base::Duration ConnectTimeOut = std::chrono::milliseconds(350);
 
@@ -80,19 +72,14 @@
   return Value.substr(0, Value.rfind(':'));
 }
 
-std::string secondsText(base::Duration Span) {
-  const auto Millis =
-      std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
-  std::array<char, 32> Text{};
-  std::snprintf(Text.data(), Text.size(), "%lld.%03lld",
-                static_cast<long long>(Millis / 1000),
-                static_cast<long long>(Millis % 1000));
-  return Text.data();
-}
-
-traffic::JobId nextJobId() {
-  static traffic::JobId Last = 0;
-  return ++Last;
+unsigned statusFor(RequestReader::Head Result) {
+  constexpr unsigned HeaderTooLarge = 431;
+  constexpr unsigned BodyTooLarge = 413;
+  constexpr unsigned BadRequest = 400;
+  if (Result == RequestReader::Head::HeaderTooLarge)
+    return HeaderTooLarge;
+  return Result == RequestReader::Head::BodyTooLarge ? BodyTooLarge
+                                                     : BadRequest;
 }
 
 } // namespace
@@ -100,6 +87,7 @@
 CallerSession::CallerSession(VmState &State, DispatchDesk &Desk,
                              TokenDesk &Tokens, asio::ip::tcp::socket Socket)
     : State_(State), Desk_(Desk), Tokens_(Tokens), Socket_(std::move(Socket)),
+      Reader_(Socket_), Writer_(Socket_, State.Platform_.Headers_),
       Watch_(std::make_shared<CallerWatch>(Socket_)), Timer_(State.Deadlines_) {
   error_code Ignored; // The socket works without these, only less promptly.
   Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
@@ -139,86 +127,49 @@
 awaitable<bool> CallerSession::readHead() {
   const traffic::CallerLimits Limits =
       State_.Rules_ ? State_.Rules_->limits() : traffic::CallerLimits();
-  Parser_.emplace();
-  Parser_->header_limit(Limits.HeaderBytes_);
-  Parser_->body_limit(Limits.BodyBytes_);
-  error_code Error;
-  if (Buffer_.size() == 0) {
-    Buffer_ = boost::beast::flat_buffer();
-    Timer_.arm(State_.now() + Limits.IdleTimeout_, [this] { close(); });
-    co_await Socket_.async_wait(asio::ip::tcp::socket::wait_read, into(Error));
-    if (Error)
-      co_return false;
-  }
+  Reader_.begin(Limits);
+  Timer_.arm(State_.now() + Limits.IdleTimeout_, [this] { close(); });
+  const bool HasByte = co_await Reader_.awaitFirstByte();
+  if (!HasByte)
+    co_return false;
   Timer_.arm(State_.now() + Limits.HeaderTimeout_, [this] { close(); });
-  co_await http::async_read_header(Socket_, Buffer_, *Parser_, into(Error));
+  const RequestReader::Head Result = co_await Reader_.readHead();
   Timer_.disarm();
   IsIdle_ = false;
   Outcome_ = RequestOutcome();
   Outcome_.Started_ = State_.now();
   Request_ = CallerRequest();
-  Attempts_ = 0;
-  MayHaveRun_ = false;
-  IsRepeatPaid_ = false;
-  if (!Error)
+  Tally_.emplace(State_.Budget_, State_.Dispatcher_);
+  if (Result == RequestReader::Head::Read)
     co_return true;
-  if (Error == http::error::header_limit || Error == http::error::body_limit ||
-      (Error.category() == make_error_code(http::error::bad_field).category() &&
-       Error != http::error::end_of_stream &&
-       Error != http::error::partial_message)) {
-    KeepsOpen_ = false;
-    const unsigned Status = Error == http::error::header_limit ? 431
-                            : Error == http::error::body_limit ? 413
-                                                               : 400;
-    co_await refuse(Status, "bad-request", base::Duration::zero());
-  }
+  if (Result == RequestReader::Head::Ended)
+    co_return false;
+  KeepsOpen_ = false;
+  co_await refuse(statusFor(Result), "bad-request", base::Duration::zero());
   co_return false;
 }
 
-awaitable<bool> CallerSession::readPiece(std::string &Piece) {
-  const std::size_t Before = Piece.size();
-  Piece.resize(Before + PieceBytes);
-  auto &Target = Parser_->get().body();
-  Target.data = &Piece[Before];
-  Target.size = PieceBytes;
-  error_code Error;
-  co_await http::async_read_some(Socket_, Buffer_, *Parser_, into(Error));
-  Piece.resize(Before + PieceBytes - Target.size);
-  if (Error == http::error::need_buffer)
-    Error = {};
-  co_return !Error;
-}
-
 awaitable<bool> CallerSession::readBody() {
-  while (!Parser_->is_done() && Request_.Body_.size() < MostKeptBody) {
-    const bool IsRead = co_await readPiece(Request_.Body_);
+  while (!Reader_.isWhole() && Request_.Body_.size() < MostKeptBody) {
+    const bool IsRead = co_await Reader_.readPiece(Request_.Body_);
     if (!IsRead)
       co_return false;
   }
-  Request_.HasMoreBody_ = !Parser_->is_done();
+  Request_.HasMoreBody_ = !Reader_.isWhole();
   co_return true;
 }
 
-awaitable<std::optional<std::string>> CallerSession::nextPiece() {
-  std::string Piece;
-  while (Piece.empty() && !Parser_->is_done()) {
-    const bool IsRead = co_await readPiece(Piece);
-    if (!IsRead)
-      co_return std::nullopt;
-  }
-  co_return Piece;
-}
-
 awaitable<void> CallerSession::serve() {
   const HeaderNames &Names = State_.Platform_.Headers_;
-  const Fields &Head = Parser_->get();
+  RequestReader::Parser &Parser = Reader_.parser();
+  const boost::beast::http::fields &Head = Parser.get();
   Request_.Id_ = valueOf(Head, Names.RequestId_);
-  Request_.Method_ = std::string(Parser_->get().method_string());
-  Request_.Target_ = std::string(Parser_->get().target());
+  Request_.Method_ = std::string(Parser.get().method_string());
+  Request_.Target_ = std::string(Parser.get().target());
   Request_.Fields_ = &Head;
-  const auto Length = Parser_->content_length();
+  const auto Length = Parser.content_length();
   Request_.BodyLength_ = Length ? static_cast<std::int64_t>(*Length) : -1;
-  KeepsOpen_ = Parser_->keep_alive();
+  KeepsOpen_ = Parser.keep_alive();
 
   const auto DeadlineMs = wholeNumber(valueOf(Head, Names.Deadline_));
   const base::Duration Deadline =
@@ -226,9 +177,8 @@
                  : DefaultDeadline;
   // A caller that stops sending its body is not waited for any longer.
   Timer_.arm(Outcome_.Started_ + Deadline, [this] { close(); });
-  if (!Parser_->is_done() &&
-      sameName(valueOf(Head, "Expect"), "100-continue")) {
-    const bool IsSent = co_await send("HTTP/1.1 100 Continue\r\n\r\n");
+  if (!Reader_.isWhole() && sameName(valueOf(Head, "Expect"), "100-continue")) {
+    const bool IsSent = co_await Writer_.invite();
     if (!IsSent) {
       KeepsOpen_ = false;
       co_return;
@@ -279,56 +229,17 @@
       co_return;
     }
   }
-  std::unique_ptr<Job> One = makeJob(*Rules, *Route, Customer);
+  std::unique_ptr<Job> One = JobMaker(State_).make(Request_, *Rules, *Route,
+                                                   Customer, Outcome_.Started_);
+  Outcome_.Service_ = One->Service_.text();
   One->Limit_ = Outcome_.Started_ + std::min(Deadline, Route->Timeout_);
   JobId_ = One->Id_;
   Watch_->start([this] { noteGone(); });
   co_await forward(std::move(One), *Route);
 }
 
-std::unique_ptr<Job>
-CallerSession::makeJob(const traffic::TrafficRules &Rules,
-                       const traffic::RouteTerms &Route,
-                       const traffic::CustomerTerms *Customer) {
-  auto One = std::make_unique<Job>();
-  One->Id_ = nextJobId();
-  One->Service_ = State_.Splits_.choose(Rules.version(), Route);
-  One->Route_ = Route.Name_;
-  One->Repeats_ = Route.Repeats_;
-  One->Priority_ = Route.Priority_;
-  One->Homes_ = Route.Homes_;
-  if (Customer) {
-    One->Customer_ = Customer->Name_;
-    if (Customer->Priority_ >= 0)
-      One->Priority_ = Customer->Priority_;
-    if (One->Homes_.empty()) {
-      One->Homes_ = Customer->Homes_;
-    } else if (!Customer->Homes_.empty()) {
-      std::erase_if(One->Homes_, [&](const base::RegionName &Region) {
-        return std::find(Customer->Homes_.begin(), Customer->Homes_.end(),
-                         Region) == Customer->Homes_.end();
-      });
-      // No region is a home of both: none may serve the request.
-      if (One->Homes_.empty())
-        One->Homes_.emplace_back();
-    }
-  }
-  One->Objective_ = Route.Objective_;
-  One->Arrived_ = Outcome_.Started_;
-  One->Due_ = One->Arrived_ + Route.Objective_;
-  const std::string_view Object =
-      cookieOf(*Request_.Fields_, State_.Platform_.Headers_.ObjectCookie_);
-  One->ObjectHash_ = Object.empty()
-                         ? base::mixBits(base::stableHash(Request_.Id_))
-                         : base::stableHash(Object);
-  Outcome_.Service_ = One->Service_.text();
-  State_.Budget_.noteRequest(One->Service_, One->Arrived_);
-  return One;
-}
-
 awaitable<void> CallerSession::forward(std::unique_ptr<Job> Job,
                                        const traffic::RouteTerms &Route) {
-  int Unreachable = 0;
   for (;;) {
     const base::TimePoint Queued = State_.now();
     Turn Own = co_await Desk_.acquire(std::move(Job));
@@ -344,9 +255,8 @@
     const traffic::Placement &Chosen = Own.Placement_;
     Outcome_.Foreseen_ = Chosen.Foreseen_;
     if (Chosen.Verdict_ == PlacementVerdict::Refuse) {
-      const bool IsLate = Chosen.Reason_ == "no-time-left";
-      const unsigned Status = !MayHaveRun_ ? 503U : IsLate ? 504U : 502U;
-      co_await refuse(Status, Chosen.Reason_, Chosen.RetryAfter_);
+      co_await refuse(Tally_->failureStatus(Chosen.Reason_ == "no-time-left"),
+                      Chosen.Reason_, Chosen.RetryAfter_);
       co_return;
     }
     Own.Job_ = std::move(Job);
@@ -358,7 +268,7 @@
                                    State_.Deadlines_, termsFor(Own, Route));
     BodySource MoreBody;
     if (Request_.HasMoreBody_)
-      MoreBody = [this] { return nextPiece(); };
+      MoreBody = [this] { return Reader_.nextPiece(); };
     const auto Attempt = Attempt_;
     AttemptResult Result = co_await Attempt->run(Request_, MoreBody);
     constexpr unsigned FirstFailure = 300;
@@ -379,29 +289,21 @@
       co_await relay(*Attempt);
       co_return;
     }
-    if (Result == AttemptResult::Unreachable)
-      ++Unreachable;
-    else
-      ++Attempts_;
-    MayHaveRun_ = MayHaveRun_ || Result == AttemptResult::Lost ||
-                  Result == AttemptResult::Silent ||
-                  Result == AttemptResult::Failed;
-    const bool GoesOn = Result == AttemptResult::Unreachable
-                            ? Unreachable < MostUnreachable
-                            : mayRepeat(*Job, Route, Result);
+    Tally_->note(Result);
+    const bool GoesOn = Tally_->mayRepeat(*Job, Route, Result,
+                                          Request_.HasMoreBody_, State_.now());
     if (!GoesOn) {
       if (Result == AttemptResult::Failed) {
         co_await relay(*Attempt);
         co_return;
       }
       Attempt->release(State_.now());
-      const unsigned Status = !MayHaveRun_                      ? 503U
-                              : Result == AttemptResult::Silent ? 504U
-                                                                : 502U;
-      co_await refuse(Status, toText(Result),
-                      scaled(Route.Objective_, RetryAfterPart));
+      co_await refuse(Tally_->failureStatus(Result == AttemptResult::Silent),
+                      toText(Result), scaled(Route.Objective_, RetryAfterPart));
       co_return;
     }
+    if (Result != AttemptResult::Unreachable)
+      State_.Metrics_.Repeats_.add();
     State_.log(EventLine("attempt-failed")
                    .add("id", Request_.Id_)
                    .add("upstream", Outcome_.Upstream_)
@@ -421,11 +323,14 @@
   Terms.Address_ = {asio::ip::make_address(Entry.Address_), Entry.Port_};
   Terms.Limit_ = One.Limit_;
   Terms.TimeLeft_ = Terms.Limit_ - Now;
-  if (One.Repeats_ == RepeatRule::Idempotent && Attempts_ == 0) {
+  if (One.Repeats_ == RepeatRule::Idempotent && Tally_->attempts() == 0) {
     Terms.SilentFrom_ =
         Now + std::max(scaled(Terms.TimeLeft_, SilentPart),
                        scaled(Chosen.Placement_.Foreseen_, SilentFactor));
-    Terms.MayGiveUp_ = [this, &One, &Route] { return mayGiveUp(One, Route); };
+    Terms.MayGiveUp_ = [this, &One, &Route] {
+      return !State_.IsStopping_ &&
+             Tally_->mayGiveUp(One, Route, Request_.HasMoreBody_, State_.now());
+    };
   }
   Terms.ConnectTimeOut_ = ConnectTimeOut;
   Terms.MostIdle_ = One.Repeats_ == RepeatRule::Idempotent
@@ -434,34 +339,6 @@
   return Terms;
 }
 
-// A silent upstream is left only for a repeat that is sure to follow: the
-// budget has room, another upstream can answer in time, and this VM stays.
-bool CallerSession::mayGiveUp(const Job &Job,
-                              const traffic::RouteTerms &Route) {
-  if (State_.IsStopping_ || Request_.HasMoreBody_ ||
-      Attempts_ + 1 >= Route.MaxAttempts_ ||
-      !State_.Dispatcher_.canRepeat(Job, State_.now()))
-    return false;
-  IsRepeatPaid_ = State_.Budget_.take(Job.Service_, State_.now());
-  return IsRepeatPaid_;
-}
-
-bool CallerSession::mayRepeat(const Job &Job, const traffic::RouteTerms &Route,
-                              AttemptResult Result) {
-  const bool DidNotRun =
-      Result == AttemptResult::Shed || Result == AttemptResult::Misdirected;
-  if (!DidNotRun && Job.Repeats_ != RepeatRule::Idempotent)
-    return false;
-  if (Attempts_ >= Route.MaxAttempts_ || Request_.HasMoreBody_ ||
-      State_.now() >= Job.Limit_)
-    return false;
-  if (!std::exchange(IsRepeatPaid_, false) &&
-      !State_.Budget_.take(Job.Service_, State_.now()))
-    return false;
-  State_.Metrics_.Repeats_.add();
-  return true;
-}
-
 void CallerSession::noteGone() {
   Desk_.cancel(JobId_);
   if (Attempt_)
@@ -480,23 +357,10 @@
   // A body that was not read would be taken for the next request.
   if (Request_.HasMoreBody_ || State_.IsStopping_)
     KeepsOpen_ = false;
-  std::string Bytes =
-      "HTTP/1.1 " + std::to_string(Status) + " " +
-      std::string(http::obsolete_reason(static_cast<http::status>(Status))) +
-      "\r\n";
-  if (!Request_.Id_.empty())
-    Bytes +=
-        State_.Platform_.Headers_.RequestId_ + ": " + Request_.Id_ + "\r\n";
-  if ((Status == Unavailable || Status == TooMany) &&
-      RetryAfter > base::Duration::zero())
-    Bytes += "Retry-After: " + secondsText(RetryAfter) + "\r\n";
-  if (!KeepsOpen_)
-    Bytes += "Connection: close\r\n";
-  Bytes += "Content-Length: " + std::to_string(Reason.size()) + "\r\n\r\n";
-  if (Request_.Method_ != "HEAD")
-    Bytes += Reason;
   logOutcome();
-  const bool IsSent = co_await send(Bytes);
+  // Named, since GCC 12 destroys a braced temporary of a co_await twice.
+  const OwnAnswer Answer{Status, Outcome_.Reason_, RetryAfter};
+  const bool IsSent = co_await Writer_.refuse(Request_, Answer, KeepsOpen_);
   if (!IsSent)
     KeepsOpen_ = false;
 }
@@ -507,76 +371,23 @@
   Outcome_.Reason_ = "upstream-answer";
   if (State_.IsStopping_ || Request_.HasMoreBody_)
     KeepsOpen_ = false;
-  std::string Bytes = "HTTP/1.1 " + std::to_string(Answer.status()) + " " +
-                      std::string(Answer.reason()) + "\r\n";
-  const std::string Connection(valueOf(Answer.fields(), "Connection"));
-  for (const auto &Field : Answer.fields()) {
-    const std::string_view Name(Field.name_string().data(),
-                                Field.name_string().size());
-    if (sameName(Name, "Content-Length") || isHopField(Name, Connection))
-      continue;
-    Bytes += Name;
-    Bytes += ": ";
-    Bytes += std::string_view(Field.value().data(), Field.value().size());
-    Bytes += "\r\n";
-  }
-  const bool IsHead = Request_.Method_ == "HEAD";
-  const bool IsWhole = Answer.isWhole();
-  const std::int64_t Length =
-      IsWhole && !IsHead ? static_cast<std::int64_t>(Answer.body().size())
-                         : Answer.bodyLength();
-  const bool IsChunked = Length < 0 && !IsHead;
-  if (IsChunked)
-    Bytes += "Transfer-Encoding: chunked\r\n";
-  else if (Length >= 0)
-    Bytes += "Content-Length: " + std::to_string(Length) + "\r\n";
-  if (!KeepsOpen_)
-    Bytes += "Connection: close\r\n";
-  Bytes += "\r\n";
-  std::string Piece = Answer.body();
-  bool IsSent = true;
-  for (;;) {
-    if (IsChunked && !Piece.empty()) {
-      std::array<char, 20> Size{};
-      const int Digits =
-          std::snprintf(Size.data(), Size.size(), "%zx\r\n", Piece.size());
-      Bytes.append(Size.data(), static_cast<std::size_t>(Digits));
-    }
-    Bytes += Piece;
-    if (IsChunked && !Piece.empty())
-      Bytes += "\r\n";
-    if (IsChunked && Answer.isWhole())
-      Bytes += "0\r\n\r\n";
-    IsSent = co_await send(Bytes);
-    if (!IsSent || Answer.isWhole())
-      break;
-    Bytes.clear();
-    const bool IsRead = co_await Answer.readMore(Piece);
-    if (!IsRead) {
-      // The caller sees the answer cut: neither its length nor its last chunk
-      // comes.
-      Outcome_.Outcome_ = "failed";
-      Outcome_.Reason_ = "answer-broke-off";
-      IsSent = false;
-      break;
-    }
+  const AnswerWriter::Relayed Result =
+      co_await Writer_.relay(Request_, Answer, KeepsOpen_);
+  if (Result == AnswerWriter::Relayed::BrokeOff) {
+    Outcome_.Outcome_ = "failed";
+    Outcome_.Reason_ = "answer-broke-off";
   }
-  if (!IsSent)
+  if (Result != AnswerWriter::Relayed::Whole)
     KeepsOpen_ = false;
   Answer.release(State_.now());
   logOutcome();
 }
 
-awaitable<bool> CallerSession::send(const std::string &Bytes) {
-  error_code Error;
-  co_await asio::async_write(Socket_, asio::buffer(Bytes), into(Error));
-  co_return !Error;
-}
-
 void CallerSession::logOutcome() {
   const base::TimePoint Now = State_.now();
   const base::Duration Took = Now - Outcome_.Started_;
-  const bool IsRoutine = Outcome_.Outcome_ == "served" && Attempts_ == 0;
+  const bool IsRoutine =
+      Outcome_.Outcome_ == "served" && Tally_->attempts() == 0;
   State_.Metrics_.countRequest(Outcome_.Outcome_, Outcome_.Reason_);
   State_.Metrics_.Latency_.record(Took);
   EventLine Line("request");
@@ -589,7 +400,7 @@
       .add("service", Outcome_.Service_)
       .add("upstream", Outcome_.Upstream_)
       .add("rank", static_cast<std::int64_t>(Outcome_.Rank_))
-      .add("attempts", Attempts_)
+      .add("attempts", Tally_->attempts())
       .add("foreseen_ms", Outcome_.Foreseen_.count() / 1000)
       .add("waited_ms", Outcome_.Waited_.count() / 1000)
       .add("took_ms", Took.count() / 1000)
--- /dev/null
+++ b/src/libs/vm/requestreader.cpp
@@ -0,0 +1,80 @@
+#include "vm/requestreader.h"
+
+#include <boost/beast/http/read.hpp>
+
+namespace ebony::vm {
+
+namespace {
+
+namespace http = boost::beast::http;
+using asynckit::awaitable;
+using asynckit::error_code;
+using asynckit::into;
+
+constexpr std::size_t PieceBytes = 8UL * 1024;
+
+RequestReader::Head judge(const error_code &Error) {
+  using Head = RequestReader::Head;
+  if (!Error)
+    return Head::Read;
+  if (Error == http::error::header_limit)
+    return Head::HeaderTooLarge;
+  if (Error == http::error::body_limit)
+    return Head::BodyTooLarge;
+  const bool IsProtocol =
+      Error.category() == make_error_code(http::error::bad_field).category();
+  if (!IsProtocol || Error == http::error::end_of_stream ||
+      Error == http::error::partial_message)
+    return Head::Ended;
+  return Head::Malformed;
+}
+
+} // namespace
+
+void RequestReader::begin(const traffic::CallerLimits &Limits) {
+  Parser_.emplace();
+  Parser_->header_limit(Limits.HeaderBytes_);
+  Parser_->body_limit(Limits.BodyBytes_);
+}
+
+awaitable<bool> RequestReader::awaitFirstByte() {
+  if (Buffer_.size() > 0)
+    co_return true;
+  Buffer_ = boost::beast::flat_buffer();
+  error_code Error;
+  co_await Socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                              into(Error));
+  co_return !Error;
+}
+
+awaitable<RequestReader::Head> RequestReader::readHead() {
+  error_code Error;
+  co_await http::async_read_header(Socket_, Buffer_, *Parser_, into(Error));
+  co_return judge(Error);
+}
+
+awaitable<bool> RequestReader::readPiece(std::string &Piece) {
+  const std::size_t Before = Piece.size();
+  Piece.resize(Before + PieceBytes);
+  auto &Target = Parser_->get().body();
+  Target.data = &Piece[Before];
+  Target.size = PieceBytes;
+  error_code Error;
+  co_await http::async_read_some(Socket_, Buffer_, *Parser_, into(Error));
+  Piece.resize(Before + PieceBytes - Target.size);
+  if (Error == http::error::need_buffer)
+    Error = {};
+  co_return !Error;
+}
+
+awaitable<std::optional<std::string>> RequestReader::nextPiece() {
+  std::string Piece;
+  while (Piece.empty() && !isWhole()) {
+    const bool IsRead = co_await readPiece(Piece);
+    if (!IsRead)
+      co_return std::nullopt;
+  }
+  co_return Piece;
+}
+
+} // namespace ebony::vm
