Advise refused callers when to return by how long the peak lasts

ReturnAdvice (no I/O) keeps the share of refusals of a service over 1.5 s; the higher it is, up to a quarter, the nearer the advice is to a third of the caller's time (3 s at most).

--- a/src/libs/traffic/dispatcher.cpp
+++ b/src/libs/traffic/dispatcher.cpp
@@ -31,10 +31,6 @@
 // priority; bounded, so that no customer starves.
 constexpr base::Duration PriorityStep = std::chrono::milliseconds(100);
 
-// Bounds of the advice when to return.
-constexpr base::Duration LeastRetryAfter = std::chrono::milliseconds(150);
-constexpr base::Duration MostRetryAfter = std::chrono::seconds(2);
-
 base::Duration scaled(base::Duration Span, double Factor) {
   return base::fromSeconds(base::toSeconds(Span) * Factor);
 }
@@ -53,6 +49,10 @@
 
 Placement Dispatcher::submit(std::unique_ptr<Job> &One, base::TimePoint Now) {
   Placement Result = decide(*One, Now);
+  if (Result.Verdict_ != PlacementVerdict::Refuse && !One->IsAdmitted_) {
+    adviceOf(*One).note(false, Now);
+    One->IsAdmitted_ = true;
+  }
   if (Result.Verdict_ == PlacementVerdict::Wait) {
     const auto Place = std::upper_bound(
         Waiting_.begin(), Waiting_.end(), One,
@@ -146,7 +146,7 @@
 Placement Dispatcher::decide(Job &One, base::TimePoint Now) {
   const base::Duration Left = One.Limit_ - Now;
   if (Left <= base::Duration::zero())
-    return refuse(One, base::Duration::zero(), "no-time-left");
+    return refuse(One, base::Duration::zero(), "no-time-left", Now);
   // Entries change while a request waits, so the order is made each time.
   One.Order_ =
       Order_.order(Table_, One.Service_, One.ObjectHash_, One.Homes_, Compared);
@@ -159,15 +159,14 @@
   if (!Best)
     Best = best(One, Now, true);
   if (!Best)
-    return refuse(One, Left, "no-upstream");
+    return refuse(One, Left, "no-upstream", Now);
   const base::Duration Usable = scaled(Left, UsableTime);
   if (Best->Foreseen_ > Usable)
-    return refuse(One, Best->Foreseen_, "too-late");
+    return refuse(One, Best->Foreseen_, "too-late", Now);
   if (!One.IsAdmitted_ && !Best->IsFree_ &&
       Now + Best->Foreseen_ >
           One.Arrived_ + scaled(One.Due_ - One.Arrived_, DuePart))
-    return refuse(One, Best->Foreseen_, "overload");
-  One.IsAdmitted_ = true;
+    return refuse(One, Best->Foreseen_, "overload", Now);
   Placement Result;
   Result.Foreseen_ = Best->Foreseen_;
   Result.Rank_ = Best->Rank_;
@@ -254,17 +253,27 @@
 }
 
 Placement Dispatcher::refuse(const Job &One, base::Duration Foreseen,
-                             const char *Reason) {
+                             const char *Reason, base::TimePoint Now) {
   Placement Result;
   Result.Verdict_ = PlacementVerdict::Refuse;
   Result.Foreseen_ = Foreseen;
   Result.Reason_ = Reason;
-  // The surplus over the objective has to drain first; callers are spread over
-  // the same span again, so that they do not return together.
-  const base::Duration Surplus = std::clamp(
-      Foreseen - scaled(One.Objective_, 0.5), LeastRetryAfter, MostRetryAfter);
-  Result.RetryAfter_ = scaled(Surplus, 0.75 + 0.75 * Random_.unit());
+  ReturnAdvice &Advice = adviceOf(One);
+  if (!One.IsAdmitted_)
+    Advice.note(true, Now);
+  // The surplus over the objective has to drain first.
+  Result.RetryAfter_ = Advice.advise(Foreseen - scaled(One.Objective_, 0.5),
+                                     One.Limit_ - Now, Now);
   return Result;
 }
 
+ReturnAdvice &Dispatcher::adviceOf(const Job &One) {
+  const auto Entry = Advice_.find(One.Service_);
+  if (Entry != Advice_.end())
+    return Entry->second;
+  return Advice_
+      .emplace(One.Service_, ReturnAdvice(base::RandomEngine(Random_())))
+      .first->second;
+}
+
 } // namespace ebony::traffic
--- a/src/libs/traffic/dispatcher.h
+++ b/src/libs/traffic/dispatcher.h
@@ -7,6 +7,7 @@
 #include "traffic/job.h"
 #include "traffic/placement.h"
 #include "traffic/placementorder.h"
+#include "traffic/returnadvice.h"
 #include "traffic/trafficrules.h"
 #include "traffic/upstreamhealth.h"
 #include "traffic/worktimes.h"
@@ -93,13 +94,16 @@
   static void noteSlowness(UpstreamState &Upstream, double Known, double Ratio,
                            double Weight, base::TimePoint Now);
   WorkTimes &timesOf(const Job &One);
-  Placement refuse(const Job &One, base::Duration Foreseen, const char *Reason);
+  Placement refuse(const Job &One, base::Duration Foreseen, const char *Reason,
+                   base::TimePoint Now);
+  ReturnAdvice &adviceOf(const Job &One);
 
   UpstreamTable &Table_;
   PlacementOrder Order_;
   ColdGate &Cold_;
   DispatchTerms Terms_;
   base::RandomEngine Random_;
+  std::map<base::ServiceName, ReturnAdvice> Advice_;
   TrafficRulesPtr Rules_;
   UpstreamHealth Health_;
   std::map<std::pair<std::string, base::ServiceName>, WorkTimes> Times_;
--- /dev/null
+++ b/src/libs/traffic/returnadvice.cpp
@@ -0,0 +1,56 @@
+#include "traffic/returnadvice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ebony::traffic {
+
+namespace {
+
+// Time over which the share of refusals is smoothed.
+constexpr double MemorySeconds = 1.5;
+
+// Share of refusals from which on the peak counts as lasting.
+constexpr double LastingShare = 0.25;
+
+// Bounds of the advice. Callers keep to at most a third of the time they have.
+constexpr base::Duration Least = std::chrono::milliseconds(150);
+constexpr double MostOfLeft = 0.32;
+constexpr double MostSeconds = 3.0;
+
+// The advice is drawn from this part of the span upwards, so that callers do
+// not come back together.
+constexpr double Spread = 0.5;
+
+double faded(double Count, base::Duration Since) {
+  return Count * std::exp(-base::toSeconds(Since) / MemorySeconds);
+}
+
+} // namespace
+
+void ReturnAdvice::note(bool IsRefused, base::TimePoint Now) {
+  Refused_ = faded(Refused_, Now - At_) + (IsRefused ? 1 : 0);
+  All_ = faded(All_, Now - At_) + 1;
+  At_ = Now;
+}
+
+base::Duration ReturnAdvice::advise(base::Duration Surplus, base::Duration Left,
+                                    base::TimePoint Now) {
+  const double Longest = std::clamp(base::toSeconds(Left) * MostOfLeft,
+                                    base::toSeconds(Least), MostSeconds);
+  const double Soon =
+      std::clamp(base::toSeconds(Surplus), base::toSeconds(Least), Longest);
+  const double Lasting = std::min(1.0, refusedShare(Now) / LastingShare);
+  const double Span = Soon + (Longest - Soon) * Lasting;
+  return base::fromSeconds(std::max(
+      base::toSeconds(Least), Span * (1 - Spread + Spread * Random_.unit())));
+}
+
+double ReturnAdvice::refusedShare(base::TimePoint Now) const {
+  // A few requests of a calm moment say little.
+  constexpr double Doubt = 2.0;
+  const base::Duration Since = Now - At_;
+  return faded(Refused_, Since) / (faded(All_, Since) + Doubt);
+}
+
+} // namespace ebony::traffic
