Ask for a place before a customer's quota is used

Now the dispatcher is asked first whether it would refuse; a refusal costs no quota. aRefusalIsForeseenWithoutTakingTheRequestIn checks that asking changes nothing and agrees with what follows.

Ruled out: giving tokens back afterwards. A token that comes back later than it was taken can be used in a window that it was not granted in.

--- a/src/libs/traffic/dispatcher.cpp
+++ b/src/libs/traffic/dispatcher.cpp
@@ -47,6 +47,13 @@
     : Table_(Table), Order_(std::move(Order)), Cold_(Cold), Terms_(Terms),
       Random_(Random) {}
 
+std::optional<Placement> Dispatcher::refusal(Job &One, base::TimePoint Now) {
+  Placement Result = decide(One, Now);
+  if (Result.Verdict_ != PlacementVerdict::Refuse)
+    return std::nullopt;
+  return Result;
+}
+
 Placement Dispatcher::submit(std::unique_ptr<Job> &One, base::TimePoint Now) {
   Placement Result = decide(*One, Now);
   if (Result.Verdict_ != PlacementVerdict::Refuse && !One->IsAdmitted_) {
--- a/src/libs/traffic/dispatcher.h
+++ b/src/libs/traffic/dispatcher.h
@@ -55,6 +55,10 @@
   /// Takes the cold rates and spans of a new configuration.
   void setRules(TrafficRulesPtr Rules) { Rules_ = std::move(Rules); }
 
+  /// The refusal of a new request that would get one now; asked before a
+  /// customer's quota is used for it.
+  std::optional<Placement> refusal(Job &One, base::TimePoint Now);
+
   /// Decides about a new request, or about one that comes back from an attempt
   /// that did not run. A job that waits is kept.
   Placement submit(std::unique_ptr<Job> &One, base::TimePoint Now);
--- a/src/libs/vm/callersession.cpp
+++ b/src/libs/vm/callersession.cpp
@@ -223,16 +223,25 @@
       co_return;
     }
     Request_.Customer_ = Customer->Name_.text();
+  }
+  std::unique_ptr<Job> One = JobMaker(State_).make(Request_, *Rules, *Route,
+                                                   Customer, Outcome_.Started_);
+  Outcome_.Service_ = One->Service_.text();
+  One->Limit_ = Outcome_.Started_ + std::min(Deadline, Route->Timeout_);
+  // What cannot be placed is refused before it uses up quota.
+  const auto Refusal = State_.Dispatcher_.refusal(*One, State_.now());
+  if (Refusal) {
+    co_await refuse(Tally_->failureStatus(false), Refusal->Reason_,
+                    Refusal->RetryAfter_);
+    co_return;
+  }
+  if (Customer) {
     const auto Pause = co_await Tokens_.admit(Customer->Name_);
     if (Pause) {
       co_await refuse(429, "over-quota", *Pause);
       co_return;
     }
   }
-  std::unique_ptr<Job> One = JobMaker(State_).make(Request_, *Rules, *Route,
-                                                   Customer, Outcome_.Started_);
-  Outcome_.Service_ = One->Service_.text();
-  One->Limit_ = Outcome_.Started_ + std::min(Deadline, Route->Timeout_);
   JobId_ = One->Id_;
   Watch_->start([this] { noteGone(); });
   co_await forward(std::move(One), *Route);
--- a/tests/libs/traffic/dispatchertest.cpp
+++ b/tests/libs/traffic/dispatchertest.cpp
@@ -161,6 +161,21 @@
   BOOST_TEST(Refused >= 15U);
 }
 
+// What would be refused is known before quota is spent on it, and asking does
+// not take the request in.
+BOOST_AUTO_TEST_CASE(aRefusalIsForeseenWithoutTakingTheRequestIn) {
+  Table_.put(upstream("u1", "east-a", 1), at(0s));
+  BOOST_TEST(!Dispatcher_.refusal(*job(1, at(0s)), at(0s)).has_value());
+  BOOST_TEST(Dispatcher_.waiting() == 0U);
+  for (JobId Id = 1; Id <= 20; ++Id) {
+    const bool IsForeseen =
+        Dispatcher_.refusal(*job(Id, at(0s)), at(0s)).has_value();
+    const bool IsRefused =
+        send(Id, at(0s)).Verdict_ == PlacementVerdict::Refuse;
+    BOOST_TEST(IsForeseen == IsRefused);
+  }
+}
+
 // A constant overload of twice the slots: requests that are taken in are
 // answered in time, and none is refused after a long wait.
 BOOST_AUTO_TEST_CASE(underOverloadThoseTakenInAreServedInTime) {
