--- a/src/libs/vm/tablefollower.cpp
+++ b/src/libs/vm/tablefollower.cpp
@@ -121,7 +121,9 @@
   if (News.IsComplete_)
     Proof = traffic::provenTime(News.Proof_, State_.Incarnation_, Now);
   // Entries that lapsed while the store was away come before what removes them.
-  if (News.SinceReturn_ && Now - *News.SinceReturn_ > Regained_ + LongReturn)
+  // Where this VM had its answers meanwhile, only the sender was cut off.
+  if (News.SinceReturn_ && IsLost_ &&
+      Now - *News.SinceReturn_ > Regained_ + LongReturn)
     noteRegained(Now - *News.SinceReturn_);
   if (Proof && IsLost_) {
     IsLost_ = false;
--- a/tests/libs/traffic/dispatchertest.cpp
+++ b/tests/libs/traffic/dispatchertest.cpp
@@ -125,7 +125,7 @@
     const Placement Chosen = Dispatcher_.submit(One, Now);
     BOOST_TEST_REQUIRE((Chosen.Verdict_ == PlacementVerdict::Send));
     Dispatcher_.begin(Chosen, *One, Now);
-    const base::UpstreamName Name = Chosen.Upstream_->Entry_.Name_;
+    base::UpstreamName Name = Chosen.Upstream_->Entry_.Name_;
     const bool IsSlow = Slow && Name == *Slow;
     const base::Duration Taken = IsSlow ? 1500ms : 200ms;
     Now += Taken;
