--- a/src/libs/asynckit/deadline.cpp
+++ b/src/libs/asynckit/deadline.cpp
@@ -1,7 +1,5 @@
 #include "asynckit/deadline.h"
 
-#include <vector>
-
 namespace ebony::asynckit {
 
 void Deadline::arm(base::TimePoint At, std::function<void()> OnExpiry) {
@@ -19,19 +17,23 @@
 }
 
 void DeadlineList::tick(base::TimePoint Now) {
-  // The functions may arm, disarm or destroy other deadlines, so they are
-  // called after the iteration over the list.
-  std::vector<std::function<void()>> Due;
+  // A function may arm, disarm or destroy other deadlines. Those that are due
+  // are in a list of their own, from which they unlink themselves.
+  Deadlines Due;
   for (auto It = Armed_.begin(); It != Armed_.end();) {
     Deadline &Current = *It++;
     if (Current.At_ > Now)
       continue;
-    Current.HasExpired_ = true;
-    Due.push_back(std::move(Current.OnExpiry_));
-    Current.disarm();
+    Current.unlink();
+    Due.push_back(Current);
   }
-  for (const std::function<void()> &OnExpiry : Due)
+  while (!Due.empty()) {
+    Deadline &Next = Due.front();
+    Next.HasExpired_ = true;
+    const std::function<void()> OnExpiry = std::move(Next.OnExpiry_);
+    Next.disarm();
     OnExpiry();
+  }
 }
 
 } // namespace ebony::asynckit
--- a/src/libs/asynckit/deadline.h
+++ b/src/libs/asynckit/deadline.h
@@ -43,8 +43,11 @@
 private:
   friend class Deadline;
 
-  boost::intrusive::list<Deadline, boost::intrusive::constant_time_size<false>>
-      Armed_;
+  using Deadlines =
+      boost::intrusive::list<Deadline,
+                             boost::intrusive::constant_time_size<false>>;
+
+  Deadlines Armed_;
 };
 
 } // namespace ebony::asynckit
