--- a/tests/platform/decodertest.cpp
+++ b/tests/platform/decodertest.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+
 using namespace ebony;
 using namespace ebony::adapter;
 using namespace std::chrono_literals;
@@ -57,6 +59,26 @@
              6.1);
 }
 
+// Only requests of these two kinds may be repeated; an unknown kind is treated
+// as one that may not.
+BOOST_AUTO_TEST_CASE(decodesRetryPolicyOfEachKind) {
+  const std::map<std::string, traffic::RetryPolicy> Expected = {
+      {"idempotent", traffic::RetryPolicy::Idempotent},
+      {"download", traffic::RetryPolicy::Idempotent},
+      {"upload", traffic::RetryPolicy::AtMostOnce},
+      {"non_idempotent", traffic::RetryPolicy::AtMostOnce},
+      {"other", traffic::RetryPolicy::AtMostOnce}};
+  for (const auto &[Kind, Policy] : Expected) {
+    std::string Text = Configuration;
+    Text.replace(Text.find("\"upload\""), 8, "\"" + Kind + "\"");
+    const auto Decoded = decodeConfiguration(Text);
+    BOOST_TEST_REQUIRE(Decoded.has_value());
+    const auto *Route = Decoded.value()->findRoute("h.example", "/a/b/c");
+    BOOST_TEST_REQUIRE(Route);
+    BOOST_TEST((Route->RetryPolicy_ == Policy), Kind);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(rejectsMalformedConfigurations) {
   for (const char *Text :
        {"", "[]", "{", R"({"version":"x"})", R"({})",
