Process the requests of a pipelining caller at the same time

Cause: CallerSession read, processed and answered one request at a time, so of several requests sent before the first response each waited for the one before it, and its objective began only when its head was read. A caller that left behind unread bytes was not noticed. Change: CallerInput reads the socket continuously and stamps when each request arrived; RequestExchange is one request and knows no connection; ExchangeQueue holds the order and lets a request that must not be repeated run alone; CallerSession owns the three and writes the responses in order. maxPipelinedRequests bounds the requests under way, 64 KB the unread bytes. DisconnectWatcher is gone. Ruled out: starting a request that must not be repeated beside others; a response before it that closes the connection makes the caller send it again.

--- a/src/libs/vm/callerrequest.h
+++ b/src/libs/vm/callerrequest.h
@@ -1,6 +1,8 @@
 #ifndef EBONY_VM_CALLERREQUEST_H
 #define EBONY_VM_CALLERREQUEST_H
 
+#include "base/time.h"
+
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/message.hpp>
 
@@ -11,6 +13,9 @@
 using RequestHead =
     boost::beast::http::request_header<boost::beast::http::fields>;
 
+/// Deadline of a request whose caller sends none.
+constexpr base::Duration DefaultDeadline = std::chrono::seconds(30);
+
 /// A caller's request with the part of its body that is read before it is
 /// forwarded.
 struct CallerRequest {
@@ -18,7 +23,7 @@
   std::string Method_;
   /// Path and query as received.
   std::string Target_;
-  const boost::beast::http::fields *Fields_ = nullptr;
+  boost::beast::http::fields Fields_;
   /// Name of the customer; empty on routes that need no key.
   std::string Customer_;
   /// The part of the body that has been read.
@@ -27,6 +32,8 @@
   bool HasMoreBody_ = false;
   /// Content length of the whole body; -1 if unknown.
   std::int64_t BodyLength_ = -1;
+  /// Time for which the caller waits for the response.
+  base::Duration Deadline_ = DefaultDeadline;
 };
 
 } // namespace ebony::vm
--- a/src/libs/vm/callersession.h
+++ b/src/libs/vm/callersession.h
@@ -1,20 +1,20 @@
 #ifndef EBONY_VM_CALLERSESSION_H
 #define EBONY_VM_CALLERSESSION_H
 
-#include "traffic/attempttally.h"
-#include "vm/asyncdispatcher.h"
-#include "vm/disconnectwatcher.h"
-#include "vm/quotaadmission.h"
-#include "vm/requestoutcome.h"
+#include "vm/exchangequeue.h"
+#include "vm/requestexchange.h"
 #include "vm/requestreader.h"
-#include "vm/responsewriter.h"
-#include "vm/upstreamattempt.h"
 
 #include <boost/intrusive/list.hpp>
 
 namespace ebony::vm {
 
-/// A connection of a caller. Reads its requests one at a time and answers each.
+/// A connection of a caller. Reads its requests, has them processed, and writes
+/// the responses in the order of the requests.
+///
+/// Two coroutines run: one reads, one writes. The connection ends when its
+/// caller disconnects, after a response that closes it, or when reading has
+/// ended and every request is answered.
 class CallerSession
     : public std::enable_shared_from_this<CallerSession>,
       public boost::intrusive::list_base_hook<
@@ -28,41 +28,46 @@
   /// created, so \p Self keeps the session alive.
   static asynckit::awaitable<void> run(std::shared_ptr<CallerSession> Self);
 
-  bool isIdle() const { return IsIdle_; }
+  /// Returns whether no request has begun to arrive or waits for its response.
+  bool isIdle() const;
   void close();
 
 private:
-  asynckit::awaitable<void> serveAll();
-  asynckit::awaitable<bool> readHead();
-  asynckit::awaitable<bool> readBody();
-  asynckit::awaitable<void> serve();
-  asynckit::awaitable<void> forward(std::unique_ptr<traffic::Job> Job,
-                                    const traffic::RouteSettings &Route);
-  asynckit::awaitable<void> refuse(unsigned Status, std::string Reason,
-                                   base::Duration RetryAfter);
-  asynckit::awaitable<void> relay(UpstreamAttempt &Attempt);
+  using ExchangePtr = std::shared_ptr<RequestExchange>;
 
-  AttemptOptions attemptOptions(const PlacedJob &Chosen,
-                                const traffic::RouteSettings &Route);
+  asynckit::awaitable<void> readAll();
+  /// Reads one request. Returns false if no other may follow it.
+  asynckit::awaitable<bool> readOne();
+  asynckit::awaitable<bool> readBody(CallerRequest &Request);
+  asynckit::awaitable<bool> confirmExpectation(const CallerRequest &Request);
+  static asynckit::awaitable<void>
+  writeAll(std::shared_ptr<CallerSession> Self);
+  asynckit::awaitable<bool> writeOne();
+
+  CallerRequest takeHead();
+  ExchangePtr makeExchange(CallerRequest Request, base::TimePoint Arrived);
   void handleDisconnect();
-  void logOutcome();
+  void armIdleTimer();
 
   VmState &State_;
   AsyncDispatcher &AsyncDispatcher_;
   QuotaAdmission &Admission_;
   boost::asio::ip::tcp::socket Socket_;
+  std::shared_ptr<CallerInput> Input_;
   RequestReader Reader_;
   ResponseWriter Writer_;
-  std::shared_ptr<DisconnectWatcher> DisconnectWatcher_;
+  /// Limits how long the caller may be idle or take to send a request.
   asynckit::Deadline Timer_;
-  CallerRequest Request_;
-  RequestOutcome Outcome_;
-  std::shared_ptr<UpstreamAttempt> Attempt_;
-  traffic::JobId JobId_ = 0;
-  /// Attempts of the current request.
-  std::optional<traffic::AttemptTally> Tally_;
-  bool IsIdle_ = true;
-  bool KeepsOpen_ = true;
+  ExchangeQueue<RequestExchange> Queue_;
+  asynckit::AutoResetEvent ReaderWakeup_;
+  asynckit::AutoResetEvent WriterWakeup_;
+  /// Whether a request is being received.
+  bool IsReceiving_ = false;
+  /// Whether the request that was read last is the last one.
+  bool HasReadLast_ = false;
+  /// Whether the response that is being written closes the connection.
+  bool IsClosing_ = false;
+  bool IsOver_ = false;
 };
 
 } // namespace ebony::vm
--- a/src/libs/vm/jobfactory.cpp
+++ b/src/libs/vm/jobfactory.cpp
@@ -52,7 +52,7 @@
   One->Arrived_ = Arrived;
   One->ObjectiveDeadline_ = One->Arrived_ + Route.LatencyObjective_;
   const std::string_view Object =
-      cookieOf(*Request.Fields_, State_.Platform_.Headers_.ObjectCookie_);
+      cookieOf(Request.Fields_, State_.Platform_.Headers_.ObjectCookie_);
   One->ObjectHash_ = Object.empty()
                          ? base::mixBits(base::stableHash(Request.Id_))
                          : base::stableHash(Object);
--- /dev/null
+++ b/src/libs/vm/requestexchange.cpp
@@ -0,0 +1,382 @@
+#include "vm/requestexchange.h"
+
+#include "vm/headerfields.h"
+#include "vm/jobfactory.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include <array>
+#include <utility>
+
+namespace ebony::vm {
+
+namespace {
+
+namespace asio = boost::asio;
+using asynckit::awaitable;
+using telemetry::EventLine;
+using telemetry::EventWeight;
+using traffic::AttemptResult;
+using traffic::Job;
+using traffic::PlacementAction;
+using traffic::RetryPolicy;
+
+// Retry-After for callers of a VM that has no configuration, or whose
+// configuration is too old for keys to be trusted.
+constexpr base::Duration NoConfigurationRetryAfter =
+    std::chrono::milliseconds(500);
+
+// Retry-After for callers of a VM that is stopping: another VM serves them.
+constexpr base::Duration StoppingRetryAfter = std::chrono::milliseconds(50);
+
+// Connect timeout: a few round trips between regions.
+constexpr base::Duration ConnectTimeout = std::chrono::milliseconds(350);
+
+// Longest idle time of a connection that is reused for a request which must not
+// be repeated: the upstream could be closing it.
+constexpr base::Duration MaxIdleForAtMostOnce = std::chrono::milliseconds(1500);
+
+// Timeout of a first attempt that may be retried: this fraction of the time
+// left, but at least this multiple of the predicted latency.
+constexpr double FirstAttemptTimeoutFraction = 0.5;
+constexpr double FirstAttemptTimeoutFactor = 3.0;
+
+// Retry-After following a failed attempt, as a fraction of the route's latency
+// objective.
+constexpr double RetryAfterFraction = 0.5;
+
+base::Duration scaled(base::Duration Span, double Factor) {
+  return base::fromSeconds(base::toSeconds(Span) * Factor);
+}
+
+const char *toText(AttemptResult Result) {
+  static constexpr std::array<const char *, 8> Names = {
+      "answered",    "upstream-failed", "upstream-shed", "misdirected",
+      "unreachable", "answer-lost",     "silent",        "abandoned"};
+  return Names.at(static_cast<std::size_t>(Result));
+}
+
+/// Returns the host of a Host header without its port.
+std::string_view hostWithoutPort(std::string_view Value) {
+  return Value.substr(0, Value.rfind(':'));
+}
+
+} // namespace
+
+RequestExchange::RequestExchange(VmState &State, AsyncDispatcher &Dispatcher,
+                                 QuotaAdmission &Admission,
+                                 CallerRequest Request, base::TimePoint Arrived,
+                                 BodySource MoreBody)
+    : State_(State), AsyncDispatcher_(Dispatcher), Admission_(Admission),
+      Request_(std::move(Request)), MoreBody_(std::move(MoreBody)),
+      Tally_(State.Budget_, State.Dispatcher_), ResponseReady_(State.Context_) {
+  Outcome_.Started_ = Arrived;
+}
+
+bool RequestExchange::isAtMostOnce() const {
+  if (!State_.Rules_)
+    return false;
+  const traffic::RouteSettings *Route = findRoute(*State_.Rules_);
+  return Route && Route->RetryPolicy_ == RetryPolicy::AtMostOnce;
+}
+
+const traffic::RouteSettings *
+RequestExchange::findRoute(const traffic::TrafficRules &Rules) const {
+  const std::string_view Path =
+      std::string_view(Request_.Target_).substr(0, Request_.Target_.find('?'));
+  return Rules.findRoute(hostWithoutPort(valueOf(Request_.Fields_, "Host")),
+                         Path);
+}
+
+void RequestExchange::start(bool IsAlone) {
+  HasStarted_ = true;
+  asio::co_spawn(State_.Context_, run(shared_from_this(), IsAlone),
+                 asio::detached);
+}
+
+awaitable<void> RequestExchange::run(std::shared_ptr<RequestExchange> Self,
+                                     bool IsAlone) {
+  try {
+    if (Self->IsAbandoned_)
+      Self->finishAbandoned();
+    else
+      co_await Self->process(IsAlone);
+  } catch (const std::exception &Error) {
+    Self->State_.log(EventLine("request-error")
+                         .add("id", Self->Request_.Id_)
+                         .add("error", Error.what()));
+    // The request may have been executed.
+    Self->answer(502, "internal-error", base::Duration::zero());
+  }
+  Self->setResponseReady();
+}
+
+void RequestExchange::reject(unsigned Status, std::string Reason) {
+  HasStarted_ = true;
+  answer(Status, std::move(Reason), base::Duration::zero());
+  setResponseReady();
+}
+
+void RequestExchange::setResponseReady() {
+  IsReady_ = true;
+  ReadySince_ = State_.now();
+  ResponseReady_.notify();
+}
+
+awaitable<void> RequestExchange::awaitResponse() {
+  co_await ResponseReady_.wait();
+}
+
+void RequestExchange::abandon() {
+  if (IsAbandoned_)
+    return;
+  IsAbandoned_ = true;
+  AsyncDispatcher_.cancel(JobId_);
+  if (Attempt_)
+    Attempt_->abandon();
+  const bool IsUnwritten = IsReady_ && !OwnResponse_ && !IsWriting_;
+  if (!HasStarted_ || IsUnwritten)
+    finishAbandoned();
+  ResponseReady_.notify();
+}
+
+awaitable<void> RequestExchange::process(bool IsAlone) {
+  if (State_.RefusesNewRequests_) {
+    answer(503, "stopping", StoppingRetryAfter);
+    co_return;
+  }
+  const traffic::TrafficRulesPtr Rules = State_.Rules_;
+  if (!Rules || !State_.KnowsUpstreams_) {
+    answer(503, "no-configuration", NoConfigurationRetryAfter);
+    co_return;
+  }
+  const traffic::RouteSettings *Route = findRoute(*Rules);
+  if (!Route) {
+    answer(404, "no-route", base::Duration::zero());
+    co_return;
+  }
+  Outcome_.Route_ = Route->Name_;
+  if (!IsAlone && Route->RetryPolicy_ == RetryPolicy::AtMostOnce) {
+    answer(503, "route-changed", NoConfigurationRetryAfter);
+    co_return;
+  }
+  const traffic::CustomerSettings *Customer = nullptr;
+  if (Rules->hasCustomers() && !Route->IsPublic_) {
+    if (!State_.KeyTrust_.isFresh(State_.now()) ||
+        !State_.PlanTrust_.isFresh(State_.now())) {
+      answer(503, "keys-not-current", NoConfigurationRetryAfter);
+      co_return;
+    }
+    const std::string &Scheme = State_.Platform_.Headers_.KeyScheme_;
+    const std::string_view Key = valueOf(Request_.Fields_, "Authorization");
+    if (Key.starts_with(Scheme))
+      Customer = Rules->findCustomer(Key.substr(Scheme.size()));
+    if (!Customer) {
+      answer(401, "unknown-key", base::Duration::zero());
+      co_return;
+    }
+    Request_.Customer_ = Customer->Name_.text();
+  }
+  std::unique_ptr<Job> RequestJob = JobFactory(State_).make(
+      Request_, *Rules, *Route, Customer, Outcome_.Started_);
+  Outcome_.Service_ = RequestJob->Service_.text();
+  RequestJob->Deadline_ =
+      Outcome_.Started_ + std::min(Request_.Deadline_, Route->Timeout_);
+  // Refuses requests that cannot be placed before they consume quota.
+  const auto Refusal =
+      State_.Dispatcher_.predictRefusal(*RequestJob, State_.now());
+  if (Refusal) {
+    answer(Tally_.failureStatus(false), Refusal->Reason_, Refusal->RetryAfter_);
+    co_return;
+  }
+  if (Customer) {
+    const auto RetryAfter = co_await Admission_.admit(Customer->Name_);
+    if (RetryAfter) {
+      answer(429, "over-quota", *RetryAfter);
+      co_return;
+    }
+  }
+  JobId_ = RequestJob->Id_;
+  if (IsAbandoned_)
+    finishAbandoned();
+  else
+    co_await forward(std::move(RequestJob), *Route);
+}
+
+awaitable<void> RequestExchange::forward(std::unique_ptr<Job> Job,
+                                         const traffic::RouteSettings &Route) {
+  for (;;) {
+    const base::TimePoint QueuedAt = State_.now();
+    PlacedJob Placed = co_await AsyncDispatcher_.acquire(std::move(Job));
+    Outcome_.Waited_ += State_.now() - QueuedAt;
+    if (!Placed.Job_) {
+      finishAbandoned();
+      co_return;
+    }
+    const traffic::Placement &Chosen = Placed.Placement_;
+    Outcome_.PredictedLatency_ = Chosen.PredictedLatency_;
+    if (Chosen.Action_ == PlacementAction::Refuse) {
+      answer(Tally_.failureStatus(Chosen.Reason_ == "no-time-left"),
+             Chosen.Reason_, Chosen.RetryAfter_);
+      co_return;
+    }
+    Outcome_.Upstream_ = Chosen.Upstream_->Entry_.Name_.text();
+    Outcome_.Rank_ = Chosen.Rank_;
+    const base::TimePoint Started = State_.now();
+    AttemptResult Result = AttemptResult::CallerLeft;
+    if (!IsAbandoned_) {
+      Attempt_ = std::make_shared<UpstreamAttempt>(
+          State_.Platform_.Headers_, State_.Connections_, State_.Deadlines_,
+          attemptOptions(Placed, Route));
+      Result = co_await Attempt_->run(Request_, MoreBody_);
+      // A successful response without the stamp was not generated by an
+      // upstream.
+      constexpr unsigned FirstFailure = 300;
+      if (Result == AttemptResult::Answered &&
+          Attempt_->status() < FirstFailure &&
+          valueOf(Attempt_->fields(), State_.Platform_.Headers_.Stamp_).empty())
+        Result = AttemptResult::ConnectionLost;
+    }
+    AsyncDispatcher_.finish(Placed, Result, State_.now() - Started);
+    Job = std::move(Placed.Job_);
+    if (settleAttempt(*Job, Route, Result, Started))
+      co_return;
+  }
+}
+
+// Returns false if the request is to be sent to another upstream.
+bool RequestExchange::settleAttempt(const Job &RequestJob,
+                                    const traffic::RouteSettings &Route,
+                                    AttemptResult Result,
+                                    base::TimePoint Started) {
+  if (Result == AttemptResult::CallerLeft || IsAbandoned_) {
+    if (Attempt_)
+      Attempt_->abandon();
+    finishAbandoned();
+    return true;
+  }
+  if (Result == AttemptResult::Answered)
+    return true;
+  Tally_.recordResult(Result);
+  const bool WillRetry = Tally_.mayRetry(RequestJob, Route, Result,
+                                         Request_.HasMoreBody_, State_.now());
+  if (!WillRetry && Result == AttemptResult::Failed)
+    return true;
+  Attempt_->release(State_.now());
+  if (!WillRetry) {
+    answer(Tally_.failureStatus(Result == AttemptResult::TimedOut),
+           toText(Result), scaled(Route.LatencyObjective_, RetryAfterFraction));
+    return true;
+  }
+  if (Result != AttemptResult::Unreachable)
+    State_.Metrics_.Retries_.add();
+  State_.log(EventLine("attempt-failed")
+                 .add("id", Request_.Id_)
+                 .add("upstream", Outcome_.Upstream_)
+                 .add("result", toText(Result))
+                 .add("took_ms", (State_.now() - Started).count() / 1000));
+  return false;
+}
+
+AttemptOptions
+RequestExchange::attemptOptions(const PlacedJob &Chosen,
+                                const traffic::RouteSettings &Route) {
+  const traffic::UpstreamEntry &Entry = Chosen.Placement_.Upstream_->Entry_;
+  const Job &RequestJob = *Chosen.Job_;
+  const base::TimePoint Now = State_.now();
+  AttemptOptions Options;
+  Options.Upstream_ = Entry.Name_;
+  asynckit::error_code Ignored; // No upstream listens at the null address.
+  Options.Address_ = {asio::ip::make_address(Entry.Address_, Ignored),
+                      Entry.Port_};
+  Options.Deadline_ = RequestJob.Deadline_;
+  Options.TimeLeft_ = Options.Deadline_ - Now;
+  if (RequestJob.RetryPolicy_ == RetryPolicy::Idempotent &&
+      Tally_.attempts() == 0) {
+    Options.GiveUpAfter_ =
+        Now + std::max(scaled(Options.TimeLeft_, FirstAttemptTimeoutFraction),
+                       scaled(Chosen.Placement_.PredictedLatency_,
+                              FirstAttemptTimeoutFactor));
+    Options.MayGiveUp_ = [this, &RequestJob, &Route] {
+      return !State_.IsStopping_ &&
+             Tally_.reserveRetry(RequestJob, Route, Request_.HasMoreBody_,
+                                 State_.now());
+    };
+  }
+  Options.ConnectTimeout_ = ConnectTimeout;
+  Options.MaxIdle_ = RequestJob.RetryPolicy_ == RetryPolicy::Idempotent
+                         ? base::Duration::max()
+                         : MaxIdleForAtMostOnce;
+  return Options;
+}
+
+void RequestExchange::answer(unsigned Status, std::string Reason,
+                             base::Duration RetryAfter) {
+  constexpr unsigned Unavailable = 503;
+  constexpr unsigned TooMany = 429;
+  Outcome_.Status_ = Status;
+  Outcome_.Outcome_ = Status == Unavailable || Status == TooMany || Status < 500
+                          ? "refused"
+                          : "failed";
+  Outcome_.Reason_ = std::move(Reason);
+  OwnResponse_ = LocalResponse{Status, Outcome_.Reason_, RetryAfter};
+  logOutcome();
+}
+
+void RequestExchange::finishAbandoned() {
+  IsAbandoned_ = true;
+  Outcome_.Outcome_ = "abandoned";
+  Outcome_.Reason_ = "caller-left";
+  logOutcome();
+}
+
+awaitable<bool> RequestExchange::writeResponse(ResponseWriter &Writer,
+                                               bool KeepsOpen) {
+  IsWriting_ = true;
+  if (OwnResponse_)
+    co_return co_await Writer.refuse(Request_, *OwnResponse_, KeepsOpen);
+  Outcome_.WaitedForTurn_ = State_.now() - ReadySince_;
+  Outcome_.Status_ = Attempt_->status();
+  Outcome_.Outcome_ = Attempt_->status() < 500 ? "served" : "failed";
+  Outcome_.Reason_ = "upstream-answer";
+  const ResponseWriter::RelayResult Result =
+      co_await Writer.relay(Request_, *Attempt_, KeepsOpen);
+  if (Result == ResponseWriter::RelayResult::Truncated) {
+    Outcome_.Outcome_ = "failed";
+    Outcome_.Reason_ = "answer-broke-off";
+  }
+  Attempt_->release(State_.now());
+  logOutcome();
+  co_return Result == ResponseWriter::RelayResult::Whole;
+}
+
+void RequestExchange::logOutcome() {
+  const base::TimePoint Now = State_.now();
+  const base::Duration Elapsed = Now - Outcome_.Started_;
+  const bool IsRoutine =
+      Outcome_.Outcome_ == "served" && Tally_.attempts() == 0;
+  State_.Metrics_.countRequest(Outcome_.Outcome_, Outcome_.Reason_);
+  State_.Metrics_.Latency_.record(Elapsed);
+  EventLine Line("request");
+  Line.add("id", Request_.Id_)
+      .add("outcome", Outcome_.Outcome_)
+      .add("reason", Outcome_.Reason_)
+      .add("status", Outcome_.Status_)
+      .add("customer", Request_.Customer_)
+      .add("route", Outcome_.Route_)
+      .add("service", Outcome_.Service_)
+      .add("upstream", Outcome_.Upstream_)
+      .add("rank", static_cast<std::int64_t>(Outcome_.Rank_))
+      .add("attempts", Tally_.attempts())
+      .add("foreseen_ms", Outcome_.PredictedLatency_.count() / 1000)
+      .add("waited_ms", Outcome_.Waited_.count() / 1000)
+      .add("turn_ms", Outcome_.WaitedForTurn_.count() / 1000)
+      .add("took_ms", Elapsed.count() / 1000)
+      .add("configuration", State_.Rules_ ? State_.Rules_->version() : 0)
+      .add("configuration_age_ms", State_.KeyTrust_.age(Now).count() / 1000)
+      .add("quota_plan", State_.Quota_.plan().Version_);
+  State_.log(Line, IsRoutine ? EventWeight::Routine : EventWeight::Notable);
+}
+
+} // namespace ebony::vm
--- a/src/libs/vm/requestoutcome.h
+++ b/src/libs/vm/requestoutcome.h
@@ -20,6 +20,9 @@
   base::Duration PredictedLatency_{};
   /// Time for which the request waited for a slot, over all attempts.
   base::Duration Waited_{};
+  /// Time for which the available response waited for those of earlier requests
+  /// of the connection.
+  base::Duration WaitedForTurn_{};
   unsigned Status_ = 0;
   /// "served", "refused", "failed" or "abandoned".
   std::string Outcome_;
--- a/src/libs/vm/requestreader.cpp
+++ b/src/libs/vm/requestreader.cpp
@@ -1,7 +1,5 @@
 #include "vm/requestreader.h"
 
-#include <boost/beast/http/read.hpp>
-
 namespace ebony::vm {
 
 namespace {
@@ -9,23 +7,15 @@
 namespace http = boost::beast::http;
 using asynckit::awaitable;
 using asynckit::error_code;
-using asynckit::into;
 
 constexpr std::size_t PieceBytes = 8UL * 1024;
 
 RequestReader::HeadStatus classifyHeadError(const error_code &Error) {
   using HeadStatus = RequestReader::HeadStatus;
-  if (!Error)
-    return HeadStatus::Read;
   if (Error == http::error::header_limit)
     return HeadStatus::HeaderTooLarge;
   if (Error == http::error::body_limit)
     return HeadStatus::BodyTooLarge;
-  const bool IsProtocolError =
-      Error.category() == make_error_code(http::error::bad_field).category();
-  if (!IsProtocolError || Error == http::error::end_of_stream ||
-      Error == http::error::partial_message)
-    return HeadStatus::Ended;
   return HeadStatus::Malformed;
 }
 
@@ -33,24 +23,33 @@
 
 void RequestReader::begin(const traffic::CallerLimits &Limits) {
   Parser_.emplace();
+  Parser_->eager(false);
   Parser_->header_limit(Limits.HeaderBytes_);
   Parser_->body_limit(Limits.BodyBytes_);
 }
 
-awaitable<bool> RequestReader::awaitFirstByte() {
-  if (Buffer_.size() > 0)
-    co_return true;
-  Buffer_ = boost::beast::flat_buffer();
-  error_code Error;
-  co_await Socket_.async_wait(boost::asio::ip::tcp::socket::wait_read,
-                              into(Error));
-  co_return !Error;
+awaitable<void> RequestReader::awaitFirstByte() {
+  while (Input_.bytes().empty() && !Input_.hasEnded())
+    co_await Input_.awaitChange();
 }
 
 awaitable<RequestReader::HeadStatus> RequestReader::readHead() {
-  error_code Error;
-  co_await http::async_read_header(Socket_, Buffer_, *Parser_, into(Error));
-  co_return classifyHeadError(Error);
+  for (;;) {
+    const std::string_view Bytes = Input_.bytes();
+    if (!Bytes.empty()) {
+      error_code Error;
+      const std::size_t Parsed =
+          Parser_->put(boost::asio::buffer(Bytes.data(), Bytes.size()), Error);
+      Input_.consume(Parsed);
+      if (Error && Error != http::error::need_more)
+        co_return classifyHeadError(Error);
+      if (Parser_->is_header_done())
+        co_return HeadStatus::Read;
+    }
+    if (Input_.hasEnded())
+      co_return HeadStatus::Ended;
+    co_await Input_.awaitChange();
+  }
 }
 
 awaitable<bool> RequestReader::readPiece(std::string &Piece) {
@@ -59,12 +58,31 @@
   auto &Target = Parser_->get().body();
   Target.data = &Piece[Before];
   Target.size = PieceBytes;
-  error_code Error;
-  co_await http::async_read_some(Socket_, Buffer_, *Parser_, into(Error));
+  bool IsRead = true;
+  while (!isComplete() && Target.size == PieceBytes) {
+    const std::string_view Bytes = Input_.bytes();
+    error_code Error = http::error::need_more;
+    std::size_t Parsed = 0;
+    if (!Bytes.empty())
+      Parsed =
+          Parser_->put(boost::asio::buffer(Bytes.data(), Bytes.size()), Error);
+    Input_.consume(Parsed);
+    if (Error == http::error::need_buffer)
+      break;
+    if (Error && Error != http::error::need_more) {
+      IsRead = false;
+      break;
+    }
+    if (Parsed > 0)
+      continue;
+    if (Input_.hasEnded()) {
+      IsRead = false;
+      break;
+    }
+    co_await Input_.awaitChange();
+  }
   Piece.resize(Before + PieceBytes - Target.size);
-  if (Error == http::error::need_buffer)
-    Error = {};
-  co_return !Error;
+  co_return IsRead;
 }
 
 awaitable<std::optional<std::string>> RequestReader::nextPiece() {
--- a/src/libs/vm/requestreader.h
+++ b/src/libs/vm/requestreader.h
@@ -1,11 +1,9 @@
 #ifndef EBONY_VM_REQUESTREADER_H
 #define EBONY_VM_REQUESTREADER_H
 
-#include "asynckit/awaiting.h"
 #include "traffic/callerlimits.h"
+#include "vm/callerinput.h"
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
@@ -14,22 +12,20 @@
 
 namespace ebony::vm {
 
-/// Reads the requests of one connection incrementally, within the limits of the
-/// configuration.
+/// Parses the requests of one connection incrementally, within the limits of
+/// the configuration.
 class RequestReader {
 public:
   using Parser =
       boost::beast::http::request_parser<boost::beast::http::buffer_body>;
 
-  explicit RequestReader(boost::asio::ip::tcp::socket &Socket)
-      : Socket_(Socket) {}
+  explicit RequestReader(CallerInput &Input) : Input_(Input) {}
 
   /// Prepares for the next request, which is read within \p Limits.
   void begin(const traffic::CallerLimits &Limits);
 
-  /// Waits for the first byte of the next request. Returns false if the
-  /// connection was closed.
-  asynckit::awaitable<bool> awaitFirstByte();
+  /// Waits for the first byte of the next request or the end of the input.
+  asynckit::awaitable<void> awaitFirstByte();
 
   /// Result of reading the head of a request.
   enum class HeadStatus {
@@ -53,8 +49,7 @@
   Parser &parser() { return *Parser_; }
 
 private:
-  boost::asio::ip::tcp::socket &Socket_;
-  boost::beast::flat_buffer Buffer_;
+  CallerInput &Input_;
   std::optional<Parser> Parser_;
 };
 
--- a/src/libs/vm/upstreamattempt.cpp
+++ b/src/libs/vm/upstreamattempt.cpp
@@ -179,7 +179,7 @@
   std::string Head;
   Head.reserve(512);
   Head += Request.Method_ + " " + Request.Target_ + " HTTP/1.1\r\n";
-  const std::string Connection(valueOf(*Request.Fields_, "Connection"));
+  const std::string Connection(valueOf(Request.Fields_, "Connection"));
   const std::array<std::string_view, 6> ReplacedFields = {
       "Authorization",  "Content-Length", "Expect",
       Names_.Deadline_, Names_.Customer_, Names_.ExpectedUpstream_};
@@ -189,7 +189,7 @@
     Head += Value;
     Head += "\r\n";
   };
-  for (const auto &Field : *Request.Fields_) {
+  for (const auto &Field : Request.Fields_) {
     const std::string_view Name(Field.name_string().data(),
                                 Field.name_string().size());
     const bool IsReplaced =
--- a/src/libs/vm/vmsettings.cpp
+++ b/src/libs/vm/vmsettings.cpp
@@ -12,6 +12,8 @@
 using boost::asio::ip::tcp;
 
 constexpr std::int64_t MaxPort = 65'535;
+constexpr std::int64_t DefaultPipelinedRequests = 8;
+constexpr std::int64_t MaxPipelinedRequests = 1024;
 constexpr double MinCoreShare = 0.001;
 constexpr double MaxCoreShare = 1024;
 
@@ -48,6 +50,9 @@
   Result.PeerPort_ =
       static_cast<std::uint16_t>(Reader.number("peerPort", 1, MaxPort));
   Result.CoreShare_ = Reader.realOr("coreShare", 1, MinCoreShare, MaxCoreShare);
+  Result.MaxPipelinedRequests_ = static_cast<std::size_t>(
+      Reader.numberOr("maxPipelinedRequests", DefaultPipelinedRequests, 1,
+                      MaxPipelinedRequests));
   const Poco::JSON::Object::Ptr Zones = Object->getObject("zones");
   if (!Zones)
     Reader.report("zones", "Add an object that gives each zone its region.");
--- a/src/libs/vm/vmsettings.h
+++ b/src/libs/vm/vmsettings.h
@@ -32,6 +32,9 @@
   std::uint16_t PeerPort_ = 0;
   /// CPU share of this VM in cores.
   double CoreShare_ = 1;
+  /// Number of requests of one caller's connection that are processed at the
+  /// same time; more stay unread.
+  std::size_t MaxPipelinedRequests_ = 8;
   /// Limits of the fleet, in the platform's text format.
   std::vector<std::string> Bounds_;
 
--- a/tests/libs/vm/fakeupstream.h
+++ b/tests/libs/vm/fakeupstream.h
@@ -7,10 +7,12 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -40,8 +42,14 @@
     boost::asio::co_spawn(Context_, accept(), boost::asio::detached);
   }
   void setBehaviour(FakeBehaviour Behaviour) { Behaviour_ = Behaviour; }
+  /// Delays each response until \p MayAnswer returns true for its request.
+  void setMayAnswer(std::function<bool(const FakeRequest &)> MayAnswer) {
+    MayAnswer_ = std::move(MayAnswer);
+  }
   std::uint16_t port() const { return Acceptor_.local_endpoint().port(); }
   const std::vector<FakeRequest> &requests() const { return Requests_; }
+  int requestsInProgress() const { return InProgress_; }
+  int answeredRequests() const { return Answered_; }
 
 private:
   asynckit::awaitable<void> accept() {
@@ -65,11 +73,18 @@
       if (Error)
         co_return;
       Requests_.push_back(Request);
+      ++InProgress_;
+      while (MayAnswer_ && !MayAnswer_(Request)) {
+        boost::asio::steady_timer Timer(Context_, std::chrono::milliseconds(1));
+        co_await Timer.async_wait(asynckit::into(Error));
+      }
+      --InProgress_;
       if (Behaviour_ == FakeBehaviour::CloseWithoutResponse)
         co_return;
       const std::string Answer = responseTo(std::string(Request["Id"]));
       co_await boost::asio::async_write(Socket, boost::asio::buffer(Answer),
                                         asynckit::into(Error));
+      ++Answered_;
       if (Error || Behaviour_ == FakeBehaviour::TruncatedResponse)
         co_return;
     }
@@ -96,7 +111,10 @@
   boost::asio::io_context &Context_;
   boost::asio::ip::tcp::acceptor Acceptor_;
   FakeBehaviour Behaviour_ = FakeBehaviour::Answer;
+  std::function<bool(const FakeRequest &)> MayAnswer_;
   std::vector<FakeRequest> Requests_;
+  int InProgress_ = 0;
+  int Answered_ = 0;
 };
 
 } // namespace ebony::vm
--- a/tests/libs/vm/requestreadertest.cpp
+++ b/tests/libs/vm/requestreadertest.cpp
@@ -1,4 +1,5 @@
 #include "vm/requestreader.h"
+#include "base/steadyclock.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -25,13 +26,17 @@
   tcp::acceptor Acceptor_{Context_, {asio::ip::address_v4::loopback(), 0}};
   tcp::socket CallerSocket_{Context_};
   tcp::socket ServerSocket_{Context_};
-  RequestReader Reader_{ServerSocket_};
+  base::SteadyClock Clock_;
+  std::shared_ptr<CallerInput> Input_ =
+      std::make_shared<CallerInput>(Context_, ServerSocket_, Clock_);
+  RequestReader Reader_{*Input_};
   std::optional<RequestReader::HeadStatus> Head_;
   std::optional<std::string> Body_;
 
   Fixture() {
     CallerSocket_.connect(Acceptor_.local_endpoint());
     ServerSocket_ = Acceptor_.accept();
+    Input_->start(nullptr);
   }
 
   awaitable<void> read() {
@@ -39,9 +44,7 @@
     Limits.HeaderBytes_ = HeaderBytes;
     Limits.BodyBytes_ = BodyBytes;
     Reader_.begin(Limits);
-    const bool HasByte = co_await Reader_.awaitFirstByte();
-    if (!HasByte)
-      co_return;
+    co_await Reader_.awaitFirstByte();
     Head_ = co_await Reader_.readHead();
     if (Head_ != RequestReader::HeadStatus::Read)
       co_return;
