Place requests by the price of slot time and by learned caches

Change: SlotPrice (free up to 0.3 of the preferred region's slots, then as the square of what is left) is charged on slot time beyond a cached response; CacheEstimator learns per service for which share of requests an object was still cached, by time since this VM's last use and by first or other upstream; times are told apart by the geometric mean of both estimates.

--- a/src/libs/traffic/dispatcher.cpp
+++ b/src/libs/traffic/dispatcher.cpp
@@ -1,13 +1,15 @@
 #include "traffic/dispatcher.h"
 
+#include "base/hashing.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace ebony::traffic {
 
 namespace {
 
-// Number of upstreams compared for an object. More would spread the object over
-// upstreams that do not have it cached.
+// Number of upstreams compared for an object.
 constexpr std::size_t MaxCandidates = 4;
 
 // Fraction of the time left that the predicted latency may take; the rest
@@ -19,6 +21,10 @@
 // queue grows to this limit, and each response takes that long.
 constexpr double ObjectiveTimeShare = 0.9;
 
+// Price of a candidate's extra slot time, as a fraction of the latency
+// objective, up to which it is used in place of a refusal.
+constexpr double MaxSlotCostShare = 0.8;
+
 // Weight of one response in an upstream's smoothed latency factor.
 constexpr double ResponseWeight = 0.1;
 // Weight of an attempt without a response. It is higher because only a few such
@@ -36,6 +42,15 @@
   return base::fromSeconds(base::toSeconds(Span) * Factor);
 }
 
+/// Identifies an object of a route at one run of an upstream.
+std::uint64_t cacheKey(const Job &Request, const UpstreamState &Upstream) {
+  const std::uint64_t ObjectKey =
+      base::mixBits(Request.ObjectHash_ ^ base::stableHash(Request.Route_));
+  const auto Started =
+      static_cast<std::uint64_t>(Upstream.Entry_.StartedUnixMs_);
+  return base::mixBits(ObjectKey ^ Upstream.NameHash_ ^ base::mixBits(Started));
+}
+
 base::TimePoint queueSortTime(const Job &Request) {
   return Request.ObjectiveDeadline_ + PriorityStep * Request.Priority_;
 }
@@ -114,14 +129,18 @@
   --Upstream.InFlight_;
   Health_.recordResult(Upstream, Result, Now);
   WorkTimes &Times = workTimesFor(Request);
-  const bool IsObjectCached = Chosen.Rank_ == 0;
   const double Ratio =
       base::toSeconds(Elapsed) /
-      std::max(base::toSeconds(Times.expected(IsObjectCached)), 0.001);
+      std::max(
+          base::toSeconds(expectedTime(Request, Upstream, Chosen.Rank_, Now)),
+          0.001);
   const double Previous = Upstream.latencyFactorAt(Now);
   if (Result == AttemptResult::Answered) {
     recordLatencyFactor(Upstream, Previous, Ratio, ResponseWeight, Now);
-    Times.recordResponse(IsObjectCached, Elapsed, Upstream.LatencyFactor_);
+    const bool WasCached = Times.wasCached(Elapsed, Upstream.LatencyFactor_);
+    Times.recordResponse(WasCached, Elapsed, Upstream.LatencyFactor_);
+    cacheFor(Request).record(cacheKey(Request, Upstream), Chosen.Rank_ == 0,
+                             WasCached, Now);
     return;
   }
   // A response would have taken at least this long, so the sample may only
@@ -150,7 +169,7 @@
         Upstream.isEjected(Now) || Upstream.isCold(Now) ||
         Upstream.freeSlots() <= 0 || Request.wasTried(Upstream.Entry_.Name_))
       continue;
-    if (predict(Request, Rank, Now).PredictedLatency_ <= TimeBudget)
+    if (predict(Request, Rank, 0, Now).PredictedLatency_ <= TimeBudget)
       return true;
   }
   return false;
@@ -163,25 +182,23 @@
   // Entries may change while a request waits, so compute the order again.
   Request.Order_ = Order_.order(Table_, Request.Service_, Request.ObjectHash_,
                                 Request.HomeRegions_, MaxCandidates);
-  std::optional<Candidate> Best = findBest(Request, Now, false);
+  const double Price =
+      SlotPrice::at(Order_
+                        .usage(Table_, Request.Service_, Request.ObjectHash_,
+                               Request.HomeRegions_, Now)
+                        .share());
+  std::optional<Candidate> Best = findBest(Request, Price, Now, false);
   if (!Best) {
     Request.Order_ = Order_.order(Table_, Request.Service_, Request.ObjectHash_,
                                   Request.HomeRegions_, SIZE_MAX);
-    Best = findBest(Request, Now, false);
+    Best = findBest(Request, Price, Now, false);
   }
   if (!Best)
-    Best = findBest(Request, Now, true);
+    Best = findBest(Request, Price, Now, true);
   if (!Best)
     return refuse(Request, TimeLeft, "no-upstream", Now);
-  const base::Duration TimeBudget = scaled(TimeLeft, UsableTimeShare);
-  if (Best->PredictedLatency_ > TimeBudget)
-    return refuse(Request, Best->PredictedLatency_, "too-late", Now);
-  if (!Request.IsAdmitted_ && !Best->HasFreeSlot_ &&
-      Now + Best->PredictedLatency_ >
-          Request.Arrived_ +
-              scaled(Request.ObjectiveDeadline_ - Request.Arrived_,
-                     ObjectiveTimeShare))
-    return refuse(Request, Best->PredictedLatency_, "overload", Now);
+  if (const char *Reason = findRefusalReason(Request, *Best, Now))
+    return refuse(Request, Best->PredictedLatency_, Reason, Now);
   Placement Result;
   Result.PredictedLatency_ = Best->PredictedLatency_;
   Result.Rank_ = Best->Rank_;
@@ -197,30 +214,55 @@
 }
 
 std::optional<Dispatcher::Candidate> Dispatcher::findBest(const Job &Request,
+                                                          double Price,
                                                           base::TimePoint Now,
                                                           bool AllowEjected) {
   std::optional<Candidate> Best;
+  std::optional<Candidate> Cheap;
   for (std::size_t Rank = 0; Rank < Request.Order_.size(); ++Rank) {
     const UpstreamState &Upstream = *Request.Order_[Rank];
     if (Request.wasTried(Upstream.Entry_.Name_) ||
         isBlockedByColdLimit(Upstream, Now) ||
         (!AllowEjected && Upstream.isEjected(Now)))
       continue;
-    Candidate Alternative = predict(Request, Rank, Now);
-    if (!Best || Alternative.PredictedLatency_ < Best->PredictedLatency_)
+    Candidate Alternative = predict(Request, Rank, Price, Now);
+    const bool IsTimely = !findRefusalReason(Request, Alternative, Now);
+    const base::Duration SlotCost =
+        Alternative.Cost_ - Alternative.PredictedLatency_;
+    if (IsTimely &&
+        SlotCost <= scaled(Request.LatencyObjective_, MaxSlotCostShare) &&
+        (!Cheap || Alternative.Cost_ < Cheap->Cost_))
+      Cheap = Alternative;
+    if (!Best || Alternative.Cost_ < Best->Cost_)
       Best = std::move(Alternative);
   }
-  return Best;
+  const bool IsBestRefused = Best && findRefusalReason(Request, *Best, Now);
+  return IsBestRefused && Cheap ? Cheap : Best;
 }
 
-Dispatcher::Candidate Dispatcher::predict(const Job &Request, std::size_t Rank,
+const char *Dispatcher::findRefusalReason(const Job &Request,
+                                          const Candidate &Best,
                                           base::TimePoint Now) {
+  if (Best.PredictedLatency_ > scaled(Request.Deadline_ - Now, UsableTimeShare))
+    return "too-late";
+  const base::TimePoint AdmissionLimit =
+      Request.Arrived_ +
+      scaled(Request.ObjectiveDeadline_ - Request.Arrived_, ObjectiveTimeShare);
+  if (!Request.IsAdmitted_ && !Best.HasFreeSlot_ &&
+      Now + Best.PredictedLatency_ > AdmissionLimit)
+    return "overload";
+  return nullptr;
+}
+
+Dispatcher::Candidate Dispatcher::predict(const Job &Request, std::size_t Rank,
+                                          double Price, base::TimePoint Now) {
   Candidate Result;
   Result.Upstream_ = Request.Order_[Rank];
   Result.Rank_ = Rank;
   const UpstreamState &Upstream = *Result.Upstream_;
-  const base::Duration ProcessingTime = scaled(
-      workTimesFor(Request).expected(Rank == 0), Upstream.latencyFactorAt(Now));
+  const base::Duration ProcessingTime =
+      scaled(expectedTime(Request, Upstream, Rank, Now),
+             Upstream.latencyFactorAt(Now));
   const int Slots = std::max(Upstream.Entry_.Slots_, 1);
   const int Ahead = Upstream.load() + countWaitingAhead(Request, Upstream);
   Result.HasFreeSlot_ = Ahead < Slots;
@@ -235,6 +277,10 @@
   // than that, so that a warm upstream is preferred.
   if (Upstream.isCold(Now))
     Result.PredictedLatency_ += ProcessingTime * 2 + Request.LatencyObjective_;
+  const base::Duration ExtraSlotTime =
+      std::max(base::Duration::zero(),
+               ProcessingTime - workTimesFor(Request).expected(true));
+  Result.Cost_ = Result.PredictedLatency_ + scaled(ExtraSlotTime, Price);
   return Result;
 }
 
@@ -269,6 +315,20 @@
   return Count;
 }
 
+base::Duration Dispatcher::expectedTime(const Job &Request,
+                                        const UpstreamState &Upstream,
+                                        std::size_t Rank, base::TimePoint Now) {
+  const WorkTimes &Times = workTimesFor(Request);
+  const double Cached = cacheFor(Request).probability(
+      cacheKey(Request, Upstream), Rank == 0, Now);
+  return scaled(Times.expected(true), Cached) +
+         scaled(Times.expected(false), 1 - Cached);
+}
+
+CacheEstimator &Dispatcher::cacheFor(const Job &Request) {
+  return Caches_[Request.Service_];
+}
+
 WorkTimes &Dispatcher::workTimesFor(const Job &Request) {
   return WorkTimes_
       .try_emplace({Request.Route_, Request.Service_},
--- a/src/libs/traffic/dispatcher.h
+++ b/src/libs/traffic/dispatcher.h
@@ -3,6 +3,7 @@
 
 #include "base/randomengine.h"
 #include "traffic/attemptresult.h"
+#include "traffic/cacheestimator.h"
 #include "traffic/coldupstreamlimiter.h"
 #include "traffic/job.h"
 #include "traffic/placement.h"
@@ -44,8 +45,10 @@
 ///
 /// For the first upstreams in an object's order, the latency is predicted from
 /// the slots, the requests in flight from all VMs, the requests queued ahead
-/// at this VM, and measured processing times. The upstream with the lowest
-/// prediction is chosen. A request waits at the VM, not at the upstream, until
+/// at this VM, measured processing times, and the probability that the upstream
+/// has the object cached. The upstream with the lowest cost is chosen: this
+/// latency plus the price of the slot time that it takes beyond the cached
+/// response. A request waits at the VM, not at the upstream, until
 /// the upstream has a free slot. It is refused at once if no upstream is
 /// predicted to respond in time. Not thread-safe; opens no sockets and reads
 /// no clock.
@@ -93,13 +96,21 @@
     UpstreamPtr Upstream_;
     std::size_t Rank_ = 0;
     base::Duration PredictedLatency_{};
+    /// PredictedLatency_ plus the price of the slot time beyond that of a
+    /// cached object.
+    base::Duration Cost_{};
     bool HasFreeSlot_ = false;
   };
 
   Placement decide(Job &Request, base::TimePoint Now);
-  std::optional<Candidate> findBest(const Job &Request, base::TimePoint Now,
-                                    bool AllowEjected);
-  Candidate predict(const Job &Request, std::size_t Rank, base::TimePoint Now);
+  std::optional<Candidate> findBest(const Job &Request, double Price,
+                                    base::TimePoint Now, bool AllowEjected);
+  Candidate predict(const Job &Request, std::size_t Rank, double Price,
+                    base::TimePoint Now);
+  /// Returns why a request is refused rather than sent to \p Best, or null.
+  static const char *findRefusalReason(const Job &Request,
+                                       const Candidate &Best,
+                                       base::TimePoint Now);
   bool isBlockedByColdLimit(const UpstreamState &Upstream,
                             base::TimePoint Now) const;
   int countWaitingAhead(const Job &Request,
@@ -108,6 +119,10 @@
                                   double Ratio, double Weight,
                                   base::TimePoint Now);
   WorkTimes &workTimesFor(const Job &Request);
+  CacheEstimator &cacheFor(const Job &Request);
+  /// Returns the expected processing time at an upstream of normal speed.
+  base::Duration expectedTime(const Job &Request, const UpstreamState &Upstream,
+                              std::size_t Rank, base::TimePoint Now);
   Placement refuse(const Job &Request, base::Duration PredictedLatency,
                    const char *Reason, base::TimePoint Now);
   ReturnAdvice &returnAdviceFor(const Job &Request);
@@ -121,6 +136,7 @@
   TrafficRulesPtr Rules_;
   UpstreamHealth Health_;
   std::map<std::pair<std::string, base::ServiceName>, WorkTimes> WorkTimes_;
+  std::map<base::ServiceName, CacheEstimator> Caches_;
   std::vector<std::unique_ptr<Job>> Waiting_;
 };
 
--- a/src/libs/traffic/placementorder.cpp
+++ b/src/libs/traffic/placementorder.cpp
@@ -72,6 +72,28 @@
   return OwnRegion_;
 }
 
+SlotUsage PlacementOrder::usage(
+    const UpstreamTable &Table, const base::ServiceName &Service,
+    std::uint64_t ObjectHash, const std::vector<base::RegionName> &HomeRegions,
+    base::TimePoint Now) const {
+  const base::RegionName PreferredRegion =
+      preferredRegion(Table.slots(Service), ObjectHash);
+  SlotUsage Preferred;
+  SlotUsage All;
+  bool HasPreferred = false;
+  for (const UpstreamPtr &Upstream : Table.usable(Service)) {
+    if (!isAllowedRegion(HomeRegions, Upstream->Region_) ||
+        Upstream->isEjected(Now))
+      continue;
+    All.add(*Upstream);
+    if (Upstream->Region_ != PreferredRegion)
+      continue;
+    Preferred.add(*Upstream);
+    HasPreferred = true;
+  }
+  return HasPreferred ? Preferred : All;
+}
+
 std::vector<UpstreamPtr> PlacementOrder::order(
     const UpstreamTable &Table, const base::ServiceName &Service,
     std::uint64_t ObjectHash, const std::vector<base::RegionName> &HomeRegions,
--- a/src/libs/traffic/placementorder.h
+++ b/src/libs/traffic/placementorder.h
@@ -1,6 +1,7 @@
 #ifndef EBONY_TRAFFIC_PLACEMENTORDER_H
 #define EBONY_TRAFFIC_PLACEMENTORDER_H
 
+#include "traffic/slotprice.h"
 #include "traffic/upstreamtable.h"
 
 #include <cstdint>
@@ -33,6 +34,13 @@
         const std::vector<base::RegionName> &HomeRegions,
         std::size_t MaxCount) const;
 
+  /// Returns the usage of the slots in the object's preferred region, or in all
+  /// allowed regions if that one has no usable upstream.
+  SlotUsage usage(const UpstreamTable &Table, const base::ServiceName &Service,
+                  std::uint64_t ObjectHash,
+                  const std::vector<base::RegionName> &HomeRegions,
+                  base::TimePoint Now) const;
+
   /// Returns the region whose upstreams are preferred for an object.
   base::RegionName preferredRegion(const RegionSlots &Slots,
                                    std::uint64_t ObjectHash) const;
--- a/src/libs/traffic/worktimes.cpp
+++ b/src/libs/traffic/worktimes.cpp
@@ -1,6 +1,7 @@
 #include "traffic/worktimes.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace ebony::traffic {
 
@@ -23,6 +24,14 @@
       UncachedTime_(base::fromSeconds(base::toSeconds(Objective) *
                                       InitialUncachedFraction)) {}
 
+bool WorkTimes::wasCached(base::Duration Elapsed, double LatencyFactor) const {
+  const double Normalized =
+      base::toSeconds(Elapsed) / std::max(LatencyFactor, 0.1);
+  // The geometric mean is as many times the one as it is below the other.
+  return Normalized < std::sqrt(base::toSeconds(CachedTime_) *
+                                base::toSeconds(UncachedTime_));
+}
+
 void WorkTimes::recordResponse(bool IsObjectCached, base::Duration Elapsed,
                                double LatencyFactor) {
   base::Duration &Estimate = IsObjectCached ? CachedTime_ : UncachedTime_;
--- a/src/libs/traffic/worktimes.h
+++ b/src/libs/traffic/worktimes.h
@@ -17,6 +17,11 @@
     return IsObjectCached ? CachedTime_ : UncachedTime_;
   }
 
+  /// Returns whether a response that took \p Elapsed is more likely one from
+  /// the cache. \p LatencyFactor is the upstream's ratio of measured to
+  /// expected time.
+  bool wasCached(base::Duration Elapsed, double LatencyFactor) const;
+
   /// Updates the estimate from a response. \p LatencyFactor is the upstream's
   /// ratio of measured to expected time.
   void recordResponse(bool IsObjectCached, base::Duration Elapsed,
