Eject an upstream that sheds requests only after ten in a row

Change: ten sheds in a row eject; an upstream that sheds all is still left. The smoothed share of failures already moves objects away from one upstream that sheds more than others. Tests: trafficpolicytest; the first of the two fails on the old bound.

--- a/src/libs/traffic/upstreamhealth.cpp
+++ b/src/libs/traffic/upstreamhealth.cpp
@@ -10,6 +10,8 @@
 constexpr int EjectAfter = 3;
 // Failed connections eject sooner, since nothing listens at the address.
 constexpr int EjectAfterUnreachable = 2;
+// An upstream that sheds part of its requests still has its objects cached.
+constexpr int EjectAfterShed = 10;
 constexpr base::Duration MinEjection = std::chrono::milliseconds(800);
 constexpr base::Duration MaxEjection = std::chrono::seconds(5);
 // Weight of one result in the smoothed share of failures.
@@ -31,8 +33,9 @@
     return {true, EjectAfterUnreachable, false};
   case AttemptResult::Misdirected:
     return {true, 1, false};
-  case AttemptResult::Failed:
   case AttemptResult::Shed:
+    return {true, EjectAfterShed, false};
+  case AttemptResult::Failed:
   case AttemptResult::ConnectionLost:
   case AttemptResult::TimedOut:
     return {true, EjectAfter, false};
--- a/tests/libs/traffic/trafficpolicytest.cpp
+++ b/tests/libs/traffic/trafficpolicytest.cpp
@@ -1,3 +1,4 @@
+#include "base/randomengine.h"
 #include "libs/traffic/fixtures.h"
 #include "traffic/coldupstreamlimiter.h"
 #include "traffic/keyfreshness.h"
@@ -100,6 +101,30 @@
   BOOST_TEST(State.FailuresInRow_ == 0);
 }
 
+// While every upstream sheds half of its requests, ejections would move all
+// objects to upstreams that do not have them cached and shed as much.
+BOOST_AUTO_TEST_CASE(upstreamThatShedsPartOfItsRequestsIsSeldomEjected) {
+  const UpstreamHealth Health;
+  UpstreamState State;
+  base::RandomEngine Random(1);
+  int Ejections = 0;
+  for (int I = 0; I < 300; ++I)
+    if (Health.recordResult(State,
+                            Random.unit() < 0.55 ? AttemptResult::Shed
+                                                 : AttemptResult::Answered,
+                            at(I * 30ms)))
+      ++Ejections;
+  BOOST_TEST(Ejections <= 3);
+}
+
+BOOST_AUTO_TEST_CASE(upstreamThatShedsAllRequestsIsEjected) {
+  const UpstreamHealth Health;
+  UpstreamState State;
+  for (int I = 0; I < 12; ++I)
+    Health.recordResult(State, AttemptResult::Shed, at(0s));
+  BOOST_TEST(State.isEjected(at(500ms)));
+}
+
 BOOST_AUTO_TEST_CASE(callerDisconnectIsNotCountedAsFailure) {
   const UpstreamHealth Health;
   UpstreamState State;
