Move objects between regions by the usage of their slots

Cause: an object's region followed the regions' slots alone. Ruled out: sending single requests to another region before a refusal (an object is served from no cache there, see the price of slot time).

--- a/src/libs/traffic/dispatcher.cpp
+++ b/src/libs/traffic/dispatcher.cpp
@@ -107,6 +107,11 @@
   return Result;
 }
 
+void Dispatcher::balanceRegions(base::TimePoint Now) {
+  for (const auto &[Service, Cache] : Caches_)
+    Order_.balance(Table_, Service, Now);
+}
+
 void Dispatcher::cancel(JobId Id) {
   std::erase_if(Waiting_, [Id](const std::unique_ptr<Job> &Request) {
     return Request->Id_ == Id;
--- a/src/libs/traffic/dispatcher.h
+++ b/src/libs/traffic/dispatcher.h
@@ -70,6 +70,9 @@
   /// of a request that has to wait.
   Placement submit(std::unique_ptr<Job> &Request, base::TimePoint Now);
 
+  /// Moves objects between the regions by the present usage of their slots.
+  void balanceRegions(base::TimePoint Now);
+
   /// Decides again about the waiting requests and returns those that no longer
   /// wait.
   std::vector<std::pair<std::unique_ptr<Job>, Placement>>
--- a/src/libs/traffic/placementorder.cpp
+++ b/src/libs/traffic/placementorder.cpp
@@ -39,9 +39,9 @@
 
 } // namespace
 
-base::RegionName
-PlacementOrder::preferredRegion(const RegionSlots &Slots,
-                                std::uint64_t ObjectHash) const {
+base::RegionName PlacementOrder::preferredRegion(const RegionSlots &Slots,
+                                                 std::uint64_t ObjectHash,
+                                                 double ExportedShare) const {
   double Total = 0;
   for (const auto &[Region, Count] : Slots)
     Total += Count;
@@ -51,7 +51,10 @@
       Total / static_cast<double>(std::max(RegionCount_, Slots.size()));
   const auto OwnSlots = Slots.find(OwnRegion_);
   const double OwnShare =
-      OwnSlots == Slots.end() ? 0 : std::min(1.0, OwnSlots->second / EvenSlots);
+      OwnSlots == Slots.end()
+          ? 0
+          : std::max(0.0, std::min(1.0, OwnSlots->second / EvenSlots) -
+                              ExportedShare);
   double Position = toUnitInterval(base::mixBits(ObjectHash ^ RegionSalt));
   if (Position < OwnShare)
     return OwnRegion_;
@@ -77,7 +80,7 @@
     std::uint64_t ObjectHash, const std::vector<base::RegionName> &HomeRegions,
     base::TimePoint Now) const {
   const base::RegionName PreferredRegion =
-      preferredRegion(Table.slots(Service), ObjectHash);
+      preferredRegion(Table.slots(Service), ObjectHash, exportedShare(Service));
   SlotUsage Preferred;
   SlotUsage All;
   bool HasPreferred = false;
@@ -94,12 +97,39 @@
   return HasPreferred ? Preferred : All;
 }
 
+void PlacementOrder::balance(const UpstreamTable &Table,
+                             const base::ServiceName &Service,
+                             base::TimePoint Now) {
+  const RegionSlots &Slots = Table.slots(Service);
+  double Total = 0;
+  for (const auto &[Region, Count] : Slots)
+    Total += Count;
+  const double EvenSlots =
+      Total / static_cast<double>(std::max(RegionCount_, Slots.size()));
+  SlotUsage Own;
+  SlotUsage Others;
+  for (const UpstreamPtr &Upstream : Table.usable(Service)) {
+    if (Upstream->isEjected(Now))
+      continue;
+    if (Upstream->Region_ == OwnRegion_)
+      Own.add(*Upstream);
+    else if (Slots.at(Upstream->Region_) > EvenSlots)
+      Others.add(*Upstream);
+  }
+  Balancers_[Service].update(Own.share(), Others.share(), Now);
+}
+
+double PlacementOrder::exportedShare(const base::ServiceName &Service) const {
+  const auto Entry = Balancers_.find(Service);
+  return Entry == Balancers_.end() ? 0 : Entry->second.exportedShare();
+}
+
 std::vector<UpstreamPtr> PlacementOrder::order(
     const UpstreamTable &Table, const base::ServiceName &Service,
     std::uint64_t ObjectHash, const std::vector<base::RegionName> &HomeRegions,
     std::size_t MaxCount) const {
   const base::RegionName PreferredRegion =
-      preferredRegion(Table.slots(Service), ObjectHash);
+      preferredRegion(Table.slots(Service), ObjectHash, exportedShare(Service));
   std::vector<RankedUpstream> Candidates;
   for (const UpstreamPtr &Upstream : Table.usable(Service)) {
     if (!isAllowedRegion(HomeRegions, Upstream->Region_))
--- a/src/libs/traffic/placementorder.h
+++ b/src/libs/traffic/placementorder.h
@@ -1,10 +1,12 @@
 #ifndef EBONY_TRAFFIC_PLACEMENTORDER_H
 #define EBONY_TRAFFIC_PLACEMENTORDER_H
 
+#include "traffic/regionbalancer.h"
 #include "traffic/slotprice.h"
 #include "traffic/upstreamtable.h"
 
 #include <cstdint>
+#include <map>
 #include <vector>
 
 namespace ebony::traffic {
@@ -42,12 +44,23 @@
                   base::TimePoint Now) const;
 
   /// Returns the region whose upstreams are preferred for an object.
+  /// \p ExportedShare is the share of the objects that the own region gives
+  /// away beyond those for which it has too few slots.
   base::RegionName preferredRegion(const RegionSlots &Slots,
-                                   std::uint64_t ObjectHash) const;
+                                   std::uint64_t ObjectHash,
+                                   double ExportedShare = 0) const;
+
+  /// Moves objects of the service between the own region and others that have
+  /// spare slots, by the present usage of their slots.
+  void balance(const UpstreamTable &Table, const base::ServiceName &Service,
+               base::TimePoint Now);
 
 private:
+  double exportedShare(const base::ServiceName &Service) const;
+
   base::RegionName OwnRegion_;
   std::size_t RegionCount_;
+  std::map<base::ServiceName, RegionBalancer> Balancers_;
 };
 
 } // namespace ebony::traffic
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -167,6 +167,7 @@
   State_.Quota_.activatePlan(State_.Members_, Now);
   State_.Upstreams_.setInFlightElsewhere(
       State_.Members_.inFlightElsewhere(Now));
+  State_.Dispatcher_.balanceRegions(Now);
   State_.Metrics_.LiveVms_.set(static_cast<std::int64_t>(Vms.size()));
   State_.Metrics_.ConfigurationAgeMs_.set(State_.KeyTrust_.age(Now).count() /
                                           1000);
