Bound what an upstream in trouble may send without end

Shown by requestpathtest: an upstream that sends a chunk extension without end made the process grow until the machine killed the test, since the parser asks for the whole extension and the connection's buffer had no limit. Interim responses and the body of a stray response went on until the attempt's timer. Change: a connection keeps at most 128 KB unparsed, an attempt skips at most 8 interim responses and 256 KB of stray bodies; then it fails like a lost connection, so what may be repeated is, and a request sent once gets 502. Ruled out: a head or a header without end; the head's limit of 32 KB ends it. Tests: leavesUpstreamThatSendsWithoutEnd (killed on the old code), promisesNothingAfterBytesWithoutEnd (passes on it, too).

--- a/src/libs/vm/upstreamattempt.cpp
+++ b/src/libs/vm/upstreamattempt.cpp
@@ -43,6 +43,13 @@
 // fails.
 constexpr int MaxStaleResponses = 3;
 
+// Bytes of their bodies that are skipped before the attempt fails: an upstream
+// in trouble may send without end.
+constexpr std::size_t MaxStaleBytes = 256UL * 1024;
+
+// Number of interim responses (1xx) that are skipped before the attempt fails.
+constexpr int MaxInterimResponses = 8;
+
 // Time after which a connection with unacknowledged data is closed.
 constexpr unsigned TcpUserTimeoutMs = 2000;
 
@@ -256,6 +263,8 @@
 }
 
 awaitable<bool> UpstreamAttempt::readHead(const CallerRequest &Request) {
+  std::size_t StaleBytes = 0;
+  int InterimCount = 0;
   for (int StaleCount = 0; StaleCount <= MaxStaleResponses;) {
     Parser_.emplace();
     Parser_->header_limit(MaxHeadBytes);
@@ -268,8 +277,11 @@
     if (Error)
       co_return false;
     constexpr unsigned FirstFinal = 200;
-    if (status() < FirstFinal)
+    if (status() < FirstFinal) {
+      if (++InterimCount > MaxInterimResponses)
+        co_return false;
       continue;
+    }
     if (valueOf(fields(), Names_.RequestId_) == Request.Id_)
       co_return true;
     // A late duplicate response to an earlier request; the expected one follows
@@ -277,7 +289,8 @@
     std::string Ignored;
     while (!Parser_->is_done()) {
       const bool IsRead = co_await readInto(Ignored);
-      if (!IsRead)
+      StaleBytes += Ignored.size();
+      if (!IsRead || StaleBytes > MaxStaleBytes)
         co_return false;
       Ignored.clear();
     }
--- a/src/libs/vm/upstreamconnection.h
+++ b/src/libs/vm/upstreamconnection.h
@@ -13,7 +13,7 @@
 class UpstreamConnection {
 public:
   explicit UpstreamConnection(boost::asio::io_context &Context)
-      : Socket_(Context) {}
+      : Socket_(Context), Buffer_(MaxUnparsedBytes) {}
 
   boost::asio::ip::tcp::socket &socket() { return Socket_; }
   boost::beast::flat_buffer &buffer() { return Buffer_; }
@@ -31,6 +31,10 @@
   base::Duration KeepAlive_{};
 
 private:
+  /// Bytes that are kept unparsed. A head or a chunk's header that is longer
+  /// ends the attempt: an upstream in trouble may send one without end.
+  static constexpr std::size_t MaxUnparsedBytes = 128UL * 1024;
+
   boost::asio::ip::tcp::socket Socket_;
   boost::beast::flat_buffer Buffer_;
 };
--- a/tests/libs/vm/fakeupstream.h
+++ b/tests/libs/vm/fakeupstream.h
@@ -26,6 +26,11 @@
   /// The connection closes before the body is complete.
   TruncatedResponse,
   Shed,
+  /// The following send without end until the connection is closed.
+  EndlessHead,
+  EndlessInterimResponses,
+  EndlessStrayBody,
+  EndlessChunkExtension,
 };
 
 using FakeRequest =
@@ -50,6 +55,8 @@
   const std::vector<FakeRequest> &requests() const { return Requests_; }
   int requestsInProgress() const { return InProgress_; }
   int answeredRequests() const { return Answered_; }
+  /// Returns the number of bytes sent without end.
+  std::size_t sentBytes() const { return SentBytes_; }
 
 private:
   asynckit::awaitable<void> accept() {
@@ -81,6 +88,10 @@
       --InProgress_;
       if (Behaviour_ == FakeBehaviour::CloseWithoutResponse)
         co_return;
+      if (Behaviour_ >= FakeBehaviour::EndlessHead) {
+        co_await sendEndlessly(Socket);
+        co_return;
+      }
       const std::string Answer = responseTo(std::string(Request["Id"]));
       co_await boost::asio::async_write(Socket, boost::asio::buffer(Answer),
                                         asynckit::into(Error));
@@ -90,6 +101,33 @@
     }
   }
 
+  /// Sends bytes that are no answer until the caller closes the connection.
+  asynckit::awaitable<void>
+  sendEndlessly(boost::asio::ip::tcp::socket &Socket) {
+    const std::string Filler(4096, 'x');
+    std::string First = "HTTP/1.1 200 OK\r\nLong: ";
+    std::string Next = Filler;
+    if (Behaviour_ == FakeBehaviour::EndlessInterimResponses) {
+      First = "HTTP/1.1 102 Processing\r\n\r\n";
+      Next = First;
+    } else if (Behaviour_ == FakeBehaviour::EndlessStrayBody) {
+      First = "HTTP/1.1 200 OK\r\nId: other\r\nStamp: s\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n";
+      Next = "1000\r\n" + Filler + "\r\n";
+    } else if (Behaviour_ == FakeBehaviour::EndlessChunkExtension) {
+      First = "HTTP/1.1 200 OK\r\nId: other\r\nStamp: s\r\n"
+              "Transfer-Encoding: chunked\r\n\r\n1;a=";
+    }
+    asynckit::error_code Error;
+    co_await boost::asio::async_write(Socket, boost::asio::buffer(First),
+                                      asynckit::into(Error));
+    while (!Error) {
+      SentBytes_ += Next.size();
+      co_await boost::asio::async_write(Socket, boost::asio::buffer(Next),
+                                        asynckit::into(Error));
+    }
+  }
+
   std::string responseTo(const std::string &Id) const {
     const std::string Whole = "HTTP/1.1 200 OK\r\nId: " + Id +
                               "\r\nStamp: s\r\nContent-Length: 12\r\n\r\n";
@@ -115,6 +153,7 @@
   std::vector<FakeRequest> Requests_;
   int InProgress_ = 0;
   int Answered_ = 0;
+  std::size_t SentBytes_ = 0;
 };
 
 } // namespace ebony::vm
--- a/tests/libs/vm/requestpathtest.cpp
+++ b/tests/libs/vm/requestpathtest.cpp
@@ -9,6 +9,10 @@
 
 using Response = TestResponse;
 
+// Bytes without end that a VM may take from an upstream, with those that both
+// sockets hold.
+constexpr std::size_t MaxBytes = 16UL * 1024 * 1024;
+
 std::string headerValue(const FakeRequest &Request, const char *Name) {
   return std::string(Request[Name]);
 }
@@ -78,6 +82,45 @@
   BOOST_TEST(!std::string(Responses.front()["Retry-After"]).empty());
 }
 
+// An upstream in trouble sends bytes that are no answer, without end. The
+// attempt fails after a bounded number of them, and its connection is closed;
+// another upstream serves what may be repeated.
+BOOST_AUTO_TEST_CASE(leavesUpstreamThatSendsWithoutEnd) {
+  for (const FakeBehaviour Behaviour :
+       {FakeBehaviour::EndlessHead, FakeBehaviour::EndlessInterimResponses,
+        FakeBehaviour::EndlessStrayBody,
+        FakeBehaviour::EndlessChunkExtension}) {
+    std::size_t Received = 0;
+    for (FakeUpstream RequestPathFixture::*InTrouble :
+         {&RequestPathFixture::FirstUpstream_,
+          &RequestPathFixture::SecondUpstream_}) {
+      RequestPathFixture Path;
+      FakeUpstream &Upstream = Path.*InTrouble;
+      Upstream.setBehaviour(Behaviour);
+      const auto Reads = Path.sendRequests({"/read/a", "/read/b"});
+      BOOST_TEST(Reads.size() == 2U);
+      for (const Response &Answer : Reads)
+        BOOST_TEST(Answer.result_int() == 200U);
+      for (const auto &[Name, State] : Path.State_->Upstreams_.all())
+        BOOST_TEST(State->InFlight_ == 0);
+      Received += Upstream.requests().size();
+      BOOST_TEST(Upstream.sentBytes() < MaxBytes);
+    }
+    // The object's first upstream is the one in trouble in one of both runs.
+    BOOST_TEST(Received > 0U);
+  }
+}
+
+// The upstream may have run such a request, so the caller is not told that it
+// did not.
+BOOST_AUTO_TEST_CASE(promisesNothingAfterBytesWithoutEnd) {
+  FirstUpstream_.setBehaviour(FakeBehaviour::EndlessHead);
+  SecondUpstream_.setBehaviour(FakeBehaviour::EndlessHead);
+  const auto Responses = sendRequests({"/write/a"});
+  BOOST_TEST(Responses.front().result_int() == 502U);
+  BOOST_TEST(receivedRequests() == 1U);
+}
+
 // Guards against a request that is accepted 5 s after SIGTERM and cut off 0.3 s
 // later, when the process exits.
 BOOST_AUTO_TEST_CASE(refusesRequestsInLastPhaseOfStop) {
