Follow a store that comes back from an older copy

Cause: nothing read Store-Era. Change: a position is the pair of era and version in one number, ordered as a pair everywhere, also in the news between VMs; changes of another era count as history that is gone, answers of an earlier era as none, a condition of an earlier era is not sent. After a rise of the era a follower keeps what it knows, applies only what is written anew, confirms nothing for 2 s and then reads the table again; an upstream that has not written its row again by then is gone. A VM registers again; the planner writes the quota plan in force again, so that no second division comes into use. Ruled out: comparing eras beside versions in each place (followers, news, plan, datagrams): the same rule in five places. Limits, not mended: a VM that starts from the copy knows nothing newer; a VM of the old build beside a new one takes no part in news of an era above 0; at 3,100 VMs each reads the tables itself after a restore. Tests: storeclienttest, tablefollowertest; the first needs the new interface, keepsKnownRowsWhenStoreComesBackFromOlderCopy cannot pass without it.

--- a/src/libs/store/row.h
+++ b/src/libs/store/row.h
@@ -11,14 +11,14 @@
 struct Row {
   std::string Key_;
   std::string Value_;
-  /// Version of the transaction that wrote the row.
+  /// Position of the transaction that wrote the row, see position.h.
   std::int64_t Version_ = 0;
   bool IsRemoved_ = false;
 
   friend bool operator==(const Row &, const Row &) = default;
 };
 
-/// Rows of one answer from the store, and the store version that it reflects.
+/// Rows of one answer from the store, and the position that it reflects.
 struct Rows {
   std::vector<Row> Rows_;
   std::int64_t Version_ = 0;
--- a/src/libs/store/rowstore.h
+++ b/src/libs/store/rowstore.h
@@ -31,13 +31,14 @@
   /// may reflect a later version.
   virtual boost::asio::awaitable<RowsResult> readAll(std::string Table) = 0;
 
-  /// Returns the changes of \p Table after version \p After as soon as there is
-  /// one, or no changes once \p Wait has passed.
+  /// Returns the changes of \p Table after position \p After as soon as there
+  /// is one, or no changes once \p Wait has passed. The history of an earlier
+  /// era is gone.
   virtual boost::asio::awaitable<RowsResult>
   readChanges(std::string Table, std::int64_t After, base::Duration Wait) = 0;
 
   /// Writes one row. If \p Expected is set, writes only if the row has that
-  /// version; 0 means that the row must not exist.
+  /// position; 0 means that the row must not exist.
   virtual boost::asio::awaitable<StoreStatus>
   write(std::string Table, std::string Key, std::string Value,
         std::optional<std::int64_t> Expected) = 0;
--- a/src/libs/vm/quotaplanupdater.cpp
+++ b/src/libs/vm/quotaplanupdater.cpp
@@ -41,10 +41,27 @@
         EventLine("quota-plan-malformed").add("row_version", Row.Version_));
     return;
   }
+  StoredPlanVersion_ = Plan->Version_;
   State_.Quota_.setPlan(*Plan, State_.now());
   State_.log(EventLine("quota-plan-taken").add("quota_plan", Plan->Version_));
 }
 
+void QuotaPlanUpdater::forgetRow() {
+  RowVersion_ = 0;
+  StoredPlanVersion_ = 0;
+}
+
+// A store that came back from an older copy holds an older division, or none.
+// The one in force is written again: with two divisions in use, the shares of
+// a customer's rate could add up to more than the whole.
+std::optional<traffic::QuotaPlan> QuotaPlanUpdater::planNext() {
+  const traffic::QuotaPlan &Plan = State_.Quota_.plan();
+  if (StoredPlanVersion_ < Plan.Version_)
+    return Plan;
+  return Planner_.planNext(Plan, *State_.Rules_, State_.ownReport(),
+                           State_.Members_, State_.now());
+}
+
 void QuotaPlanUpdater::start() {
   boost::asio::co_spawn(State_.Context_, runPlanning(), boost::asio::detached);
 }
@@ -56,9 +73,7 @@
     co_await Timer_.async_wait(asynckit::into(Ignored));
     if (!isPlanner())
       continue;
-    const auto Next =
-        Planner_.planNext(State_.Quota_.plan(), *State_.Rules_,
-                          State_.ownReport(), State_.Members_, State_.now());
+    const auto Next = planNext();
     if (!Next)
       continue;
     const StoreStatus Status = co_await Store_->write(
--- a/src/libs/vm/quotaplanupdater.h
+++ b/src/libs/vm/quotaplanupdater.h
@@ -15,6 +15,8 @@
 
   /// Applies the plan's row; a removed row means that there is no plan yet.
   void applyRow(const store::Row &Row);
+  /// Records that the table's whole content follows, which may lack the row.
+  void forgetRow();
   /// Records that the VMs' table has been read; no plan is written before that.
   void markTableRead() { HasReadTable_ = true; }
 
@@ -26,6 +28,8 @@
 
 private:
   asynckit::awaitable<void> runPlanning();
+  /// Returns the plan to be written, if any.
+  std::optional<traffic::QuotaPlan> planNext();
   bool isPlanner() const;
 
   VmState &State_;
@@ -34,6 +38,8 @@
   boost::asio::steady_timer Timer_;
   base::TimePoint Started_;
   std::int64_t RowVersion_ = 0;
+  /// Version of the plan in the store.
+  std::int64_t StoredPlanVersion_ = 0;
   bool HasReadTable_ = false;
 };
 
--- a/src/libs/vm/statesynchronizer.cpp
+++ b/src/libs/vm/statesynchronizer.cpp
@@ -29,7 +29,8 @@
                          nullptr,
                          [this](base::TimePoint Since) {
                            State_.Upstreams_.recordStoreReturn(Since);
-                         }}) {}
+                         },
+                         nullptr, true}) {}
 
 void StateSynchronizer::start() {
   using boost::asio::co_spawn;
--- a/src/libs/vm/tablefollower.cpp
+++ b/src/libs/vm/tablefollower.cpp
@@ -1,6 +1,9 @@
 #include "vm/tablefollower.h"
 
+#include "store/position.h"
+
 #include <algorithm>
+#include <utility>
 
 namespace ebony::vm {
 
@@ -22,6 +25,10 @@
 // Interval at which a VM checks whether it has become its region's reader.
 constexpr base::Duration ReaderCheckInterval = std::chrono::milliseconds(250);
 
+// Time in which the operator and the upstreams write again what the store lost
+// when it came back from an older copy.
+constexpr base::Duration RestoreSpan = std::chrono::milliseconds(2000);
+
 // Time for which table news mentions a return of the store. A return that
 // began later than this after the previous one counts as a new one.
 constexpr base::Duration StoreReturnSpan = std::chrono::milliseconds(2000);
@@ -58,7 +65,8 @@
 }
 
 asynckit::awaitable<bool> TableFollower::awaitPollTime() {
-  while (Followed_.hasSnapshot() && !IsBehind_ && !State_.readsForRegion()) {
+  while (Followed_.hasSnapshot() && !IsBehind_ && !State_.readsForRegion() &&
+         (!IsRereadDue_ || isRestoring())) {
     const base::TimePoint Now = State_.now();
     const base::Duration Remaining =
         Pace_.timeUntilPoll(Followed_.age(Now), Now - LastHeard_);
@@ -70,6 +78,8 @@
 }
 
 asynckit::awaitable<StoreStatus> TableFollower::readOnce(bool MayLongPoll) {
+  if (IsRereadDue_ && !isRestoring())
+    Followed_.reset();
   const bool IsFirst = !Followed_.hasSnapshot();
   const std::int64_t After = Followed_.version();
   const base::TimePoint ReadStarted = State_.now();
@@ -91,8 +101,7 @@
     reportStoreReturn(State_.now());
   if (IsFirst) {
     Followed_.applySnapshot(Result.Rows_, ReadStarted);
-    Listener_.OnReplace_(Result.Rows_.Rows_);
-    confirm();
+    replace(std::move(Result.Rows_));
     co_return StoreStatus::Done;
   }
   const auto NewRows = Followed_.applyChanges(
@@ -105,13 +114,45 @@
   co_return StoreStatus::Done;
 }
 
+void TableFollower::replace(store::Rows Snapshot) {
+  const std::int64_t Previous =
+      std::exchange(SnapshotPosition_, Snapshot.Version_);
+  if (Previous >= 0 &&
+      store::eraOf(Snapshot.Version_) > store::eraOf(Previous)) {
+    beginRestore(Snapshot.Version_);
+    return;
+  }
+  if (isRestoring())
+    return;
+  IsRereadDue_ = false;
+  if (Listener_.AreRowsRenewed_)
+    std::erase_if(Snapshot.Rows_, [this](const store::Row &Row) {
+      return Row.Version_ <= RestorePosition_;
+    });
+  Listener_.OnReplace_(Snapshot.Rows_);
+  confirm();
+}
+
+void TableFollower::beginRestore(std::int64_t Position) {
+  State_.log(EventLine("store-restored")
+                 .add("table", Table_)
+                 .add("era", store::eraOf(Position))
+                 .add("version", store::versionOf(Position)));
+  RestorePosition_ = Position;
+  RestoredUntil_ = State_.now() + RestoreSpan;
+  IsRereadDue_ = true;
+  if (Listener_.OnRestored_)
+    Listener_.OnRestored_();
+}
+
 void TableFollower::publish(std::int64_t After, const store::Rows &Changes) {
   const base::TimePoint Now = State_.now();
   peers::TableNews News;
   News.Table_ = Table_;
   News.After_ = After;
   News.Changes_ = Changes;
-  News.IsComplete_ = !Changes.HasMore_;
+  // What the store lost may still be written again.
+  News.IsComplete_ = !Changes.HasMore_ && !isRestoring();
   News.Proof_.Age_ = Followed_.age(Now);
   if (Now - StoreReturned_ < StoreReturnSpan)
     News.SinceReturn_ = Now - StoreReturned_;
@@ -156,7 +197,7 @@
 
 void TableFollower::confirm() {
   const base::TimePoint Now = State_.now();
-  if (Listener_.OnConfirmed_)
+  if (Listener_.OnConfirmed_ && !isRestoring())
     Listener_.OnConfirmed_(Now - Followed_.age(Now));
 }
 
--- a/src/libs/vm/tablefollower.h
+++ b/src/libs/vm/tablefollower.h
@@ -25,12 +25,20 @@
   /// Called when the store is reachable again, with the time at which it came
   /// back.
   std::function<void(base::TimePoint)> OnStoreReturn_;
+  /// Called when the store has come back from an older copy: what was written
+  /// since the copy is gone.
+  std::function<void()> OnRestored_ = nullptr;
+  /// Whether each row is written again and again by what it describes, so that
+  /// a row that is not written again after a restore describes nothing.
+  bool AreRowsRenewed_ = false;
 };
 
 /// Follows one table of the store by its changes, and reads the whole table
-/// again when the store no longer has the history. One VM of a region reads the
-/// store and forwards the changes; the others read it only when they have
-/// received no news for too long.
+/// again when the store no longer has the history. When the store comes back
+/// from an older copy, what is known stays in force, unconfirmed, until its
+/// writers had the time to write again what the copy lacks. One VM of a region
+/// reads the store and forwards the changes; the others read it only when they
+/// have received no news for too long.
 class TableFollower {
 public:
   TableFollower(VmState &State, std::string Table, FollowPace Pace,
@@ -52,6 +60,10 @@
   void applyChanges(const std::vector<store::Row> &Rows);
   void confirm();
   void reportStoreReturn(base::TimePoint Since);
+  /// Handles the first snapshot after the store came back from an older copy.
+  void beginRestore(std::int64_t Position);
+  bool isRestoring() const { return State_.now() < RestoredUntil_; }
+  void replace(store::Rows Snapshot);
   asynckit::awaitable<void> pause(base::Duration Span);
   void recordStatus(store::StoreStatus Status);
 
@@ -70,6 +82,14 @@
   base::TimePoint LastHeard_{std::chrono::hours(-1)};
   base::TimePoint StoreReturned_{std::chrono::hours(-1)};
   base::Duration RetryDelay_{};
+  /// Position of the last snapshot; -1 before the first one.
+  std::int64_t SnapshotPosition_ = -1;
+  /// Position of the store when it came back from an older copy.
+  std::int64_t RestorePosition_ = -1;
+  base::TimePoint RestoredUntil_{std::chrono::hours(-1)};
+  /// Whether the table has to be read again when the time to write rows again
+  /// is over.
+  bool IsRereadDue_ = false;
 };
 
 } // namespace ebony::vm
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -56,6 +56,7 @@
       VmTableFollower_(State, VmTableName, trustedPace(State.Bounds_),
                        {[this](const std::vector<store::Row> &Rows) {
                           Messenger_.replaceRows({});
+                          QuotaPlanUpdater_.forgetRow();
                           applyVmTableChanges(Rows);
                         },
                         [this](const std::vector<store::Row> &Rows) {
@@ -64,7 +65,12 @@
                         [this](base::TimePoint ReadStarted) {
                           State_.PlanTrust_.confirm(ReadStarted);
                         },
-                        nullptr}),
+                        nullptr,
+                        [this] {
+                          // The copy may lack this VM's row.
+                          asio::co_spawn(Context_, registerVm(),
+                                         asio::detached);
+                        }}),
       ReadinessServer_(
           State, State.Settings_.Readiness_,
           [this](const std::string &Path, const QueryParameters &) {
