--- a/src/libs/traffic/coldupstreamlimiter.cpp
+++ b/src/libs/traffic/coldupstreamlimiter.cpp
@@ -2,6 +2,8 @@
 
 #include "base/hashing.h"
 
+#include <algorithm>
+
 namespace ebony::traffic {
 
 namespace {
@@ -27,13 +29,18 @@
   if (Upstream.LastColdSend_ != base::TimePoint{} &&
       Now - Upstream.LastColdSend_ < MinSendInterval)
     return false;
+  const auto Rank = static_cast<double>(countHigherRanked(Upstream) + 1);
+  return Rank <= LimitPerSecond * Share_;
+}
+
+std::size_t
+ColdUpstreamLimiter::countHigherRanked(const UpstreamState &Upstream) const {
   const std::uint64_t OwnScore =
       base::mixBits(base::stableHash(OwnName_) ^ Upstream.NameHash_);
-  double HigherRanked = 0;
-  for (const std::uint64_t OtherHash : OtherHashes_)
-    HigherRanked +=
-        base::mixBits(OtherHash ^ Upstream.NameHash_) > OwnScore ? 1 : 0;
-  return HigherRanked + 1 <= LimitPerSecond * Share_;
+  return static_cast<std::size_t>(std::count_if(
+      OtherHashes_.begin(), OtherHashes_.end(), [&](std::uint64_t OtherHash) {
+        return base::mixBits(OtherHash ^ Upstream.NameHash_) > OwnScore;
+      }));
 }
 
 } // namespace ebony::traffic
--- a/src/libs/traffic/coldupstreamlimiter.h
+++ b/src/libs/traffic/coldupstreamlimiter.h
@@ -32,6 +32,12 @@
   bool allows(const UpstreamState &Upstream, double LimitPerSecond,
               base::TimePoint Now) const;
 
+  /// Returns how many VMs share the limit, this one included.
+  std::size_t vmCount() const { return OtherHashes_.size() + 1; }
+
+  /// Returns how many of them hashing ranks before this one for \p Upstream.
+  std::size_t countHigherRanked(const UpstreamState &Upstream) const;
+
 private:
   std::string OwnName_;
   double Share_;
--- a/src/libs/traffic/upstreamtable.cpp
+++ b/src/libs/traffic/upstreamtable.cpp
@@ -136,6 +136,12 @@
       [](const auto &Named) { return Named.second->Limit_.isInForce(); });
 }
 
+std::int64_t UpstreamTable::coldCount(base::TimePoint Now) const {
+  return std::count_if(
+      Upstreams_.begin(), Upstreams_.end(),
+      [Now](const auto &Named) { return Named.second->isCold(Now); });
+}
+
 UpstreamPtr UpstreamTable::find(const base::UpstreamName &Name) const {
   const auto Entry = Upstreams_.find(Name);
   return Entry == Upstreams_.end() ? nullptr : Entry->second;
--- a/src/libs/traffic/upstreamtable.h
+++ b/src/libs/traffic/upstreamtable.h
@@ -71,6 +71,9 @@
   /// Returns the number of upstreams that name a limit of their request rate.
   std::int64_t limitedCount() const;
 
+  /// Returns the number of upstreams that are taken for cold.
+  std::int64_t coldCount(base::TimePoint Now) const;
+
   UpstreamPtr find(const base::UpstreamName &Name) const;
   const std::map<base::UpstreamName, UpstreamPtr> &all() const {
     return Upstreams_;
--- a/src/libs/vm/requestexchange.cpp
+++ b/src/libs/vm/requestexchange.cpp
@@ -239,6 +239,7 @@
     const base::TimePoint Started = State_.now();
     AttemptResult Result = AttemptResult::CallerLeft;
     if (!IsAbandoned_) {
+      recordColdSend(*Chosen.Upstream_);
       Attempt_ = std::make_shared<UpstreamAttempt>(
           State_.Platform_.Headers_, State_.Connections_, State_.Deadlines_,
           attemptOptions(Placed, Route));
@@ -271,6 +272,22 @@
   }
 }
 
+void RequestExchange::recordColdSend(const traffic::UpstreamState &Upstream) {
+  const base::TimePoint Now = State_.now();
+  if (!Upstream.isCold(Now))
+    return;
+  State_.Metrics_.SendsToCold_.add();
+  State_.log(
+      EventLine("cold-send")
+          .add("id", Request_.Id_)
+          .add("upstream", Upstream.Entry_.Name_.text())
+          .add("cold_ms", (Upstream.ColdUntil_ - Now).count() / 1000)
+          .add("vms", static_cast<std::int64_t>(State_.ColdLimiter_.vmCount()))
+          .add("ranked_before",
+               static_cast<std::int64_t>(
+                   State_.ColdLimiter_.countHigherRanked(Upstream))));
+}
+
 void RequestExchange::recordNamedLimit(traffic::UpstreamState &Upstream,
                                        AttemptResult Result,
                                        base::TimePoint Started) {
--- a/src/libs/vm/requestexchange.h
+++ b/src/libs/vm/requestexchange.h
@@ -57,6 +57,8 @@
   findRoute(const traffic::TrafficRules &Rules) const;
   AttemptOptions attemptOptions(const PlacedJob &Chosen,
                                 const traffic::RouteSettings &Route);
+  /// Logs and counts a send to an upstream that is cold.
+  void recordColdSend(const traffic::UpstreamState &Upstream);
   /// Records the request rate that the response named, or that it named none.
   void recordNamedLimit(traffic::UpstreamState &Upstream,
                         traffic::AttemptResult Result, base::TimePoint Started);
--- a/src/libs/vm/statesynchronizer.cpp
+++ b/src/libs/vm/statesynchronizer.cpp
@@ -149,11 +149,18 @@
   }
   const traffic::UpstreamPtr Previous = State_.Upstreams_.find(Entry->Name_);
   const bool WasDraining = Previous && Previous->Entry_.IsDraining_;
+  const bool WasCold = Previous && Previous->isCold(State_.now());
   if (!State_.Upstreams_.put(*Entry, State_.now()))
     return;
   if (Previous && WasDraining == Entry->IsDraining_ &&
-      Previous->Entry_.StartedUnixMs_ == Entry->StartedUnixMs_)
+      Previous->Entry_.StartedUnixMs_ == Entry->StartedUnixMs_) {
+    if (!WasCold && Previous->isCold(State_.now()))
+      State_.log(EventLine("upstream-cold")
+                     .add("upstream", Row.Key_)
+                     .add("cold_ms", Entry->ColdRemaining_.count() / 1000)
+                     .add("row_version", Row.Version_));
     return;
+  }
   State_.log(EventLine("upstream-listed")
                  .add("upstream", Row.Key_)
                  .add("service", Entry->Service_.text())
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -184,6 +184,7 @@
   State_.Metrics_.WaitingRequests_.set(
       static_cast<std::int64_t>(State_.Dispatcher_.waitingCount()));
   State_.Metrics_.LimitedUpstreams_.set(State_.Upstreams_.limitedCount());
+  State_.Metrics_.ColdUpstreams_.set(State_.Upstreams_.coldCount(Now));
   State_.Metrics_.DroppedLines_.set(State_.Log_.dropped());
   State_.Log_.flush();
 }
--- a/src/libs/vm/vmmetrics.cpp
+++ b/src/libs/vm/vmmetrics.cpp
@@ -39,6 +39,10 @@
       SendsToLimited_(
           Registry_.counter("ebony_sends_to_limited_upstreams_total",
                             "Requests sent to upstreams that name a limit.")),
+      ColdUpstreams_(Registry_.counter("ebony_cold_upstreams",
+                                       "Upstreams taken for cold.", "", Gauge)),
+      SendsToCold_(Registry_.counter("ebony_sends_to_cold_upstreams_total",
+                                     "Requests sent to cold upstreams.")),
       UpstreamEnds_(Registry_.counter(
           "ebony_requests_lost_with_upstream_total",
           "Requests under way at an upstream whose process ended.")),
--- a/src/libs/vm/vmmetrics.h
+++ b/src/libs/vm/vmmetrics.h
@@ -32,6 +32,8 @@
   telemetry::Counter &Upstreams_;
   telemetry::Counter &LimitedUpstreams_;
   telemetry::Counter &SendsToLimited_;
+  telemetry::Counter &ColdUpstreams_;
+  telemetry::Counter &SendsToCold_;
   telemetry::Counter &UpstreamEnds_;
   telemetry::Counter &BlamedRequests_;
   telemetry::Counter &DroppedLines_;
