Count VMs that are not heard of among those that share a cold upstream's limit

Cause: each VM ranked itself among the VMs whose reports were younger than 2.5 s and sent once in 1.2 s if it was among the first 13. A VM that hears from few others ranks itself first: it is cut off, it has just started, or its link drops datagrams.

Now a VM that fell silent counts for another 60 s, and one that the store lists and that was never heard of for 60 s after the list became known. Before the list is known, and for 1.2 s after, nothing is sent to a cold upstream, since what the VM sent before a restart is unknown. A dead VM's part stays unused for up to 60 s; ranks are by hash, so that the parts of the others are the same share of the limit.

Ruled out by reading: retries (they skip cold upstreams), ejected upstreams and the search beyond an object's own upstreams (both ask the limiter).

--- a/src/libs/traffic/coldupstreamlimiter.cpp
+++ b/src/libs/traffic/coldupstreamlimiter.cpp
@@ -14,11 +14,14 @@
 
 } // namespace
 
-void ColdUpstreamLimiter::setVms(const std::vector<std::string> &Names) {
+void ColdUpstreamLimiter::setOtherVms(const std::vector<std::string> &Names,
+                                      base::TimePoint Now) {
   OtherHashes_.clear();
   for (const std::string &Name : Names)
-    if (Name != OwnName_)
-      OtherHashes_.push_back(base::stableHash(Name));
+    OtherHashes_.push_back(base::stableHash(Name));
+  // What the VM sent before a restart is not known.
+  if (!StartsAt_)
+    StartsAt_ = Now + MinSendInterval;
 }
 
 bool ColdUpstreamLimiter::allows(const UpstreamState &Upstream,
@@ -26,6 +29,8 @@
                                  base::TimePoint Now) const {
   if (!Upstream.isCold(Now) || LimitPerSecond <= 0)
     return true;
+  if (!StartsAt_ || Now < *StartsAt_)
+    return false;
   if (Upstream.LastColdSend_ != base::TimePoint{} &&
       Now - Upstream.LastColdSend_ < MinSendInterval)
     return false;
--- a/src/libs/traffic/coldupstreamlimiter.h
+++ b/src/libs/traffic/coldupstreamlimiter.h
@@ -4,6 +4,7 @@
 #include "traffic/upstreamstate.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,7 +17,8 @@
 ///
 /// Each VM sends at most one request per second to a cold upstream, and only
 /// the VMs that rendezvous hashing ranks first for it send any, so that the
-/// total stays below the limit.
+/// total stays below the limit. VMs that are not heard of count as well: each
+/// VM that left them out would take the place of one of them, while they go on.
 class ColdUpstreamLimiter {
 public:
   /// \p Share is the fraction of the limit that is used; the rest allows for
@@ -24,8 +26,9 @@
   ColdUpstreamLimiter(std::string OwnName, double Share)
       : OwnName_(std::move(OwnName)), Share_(Share) {}
 
-  /// Replaces the names of the VMs that share the limit, including this one.
-  void setVms(const std::vector<std::string> &Names);
+  /// Replaces the names of the other VMs that share the limit. Until the first
+  /// call the other VMs are unknown, and nothing is sent to a cold upstream.
+  void setOtherVms(const std::vector<std::string> &Names, base::TimePoint Now);
 
   /// Returns whether this VM may send to \p Upstream now. \p LimitPerSecond
   /// is the limit for all VMs together.
@@ -42,6 +45,9 @@
   std::string OwnName_;
   double Share_;
   std::vector<std::uint64_t> OtherHashes_;
+  /// Time from which requests may be sent; std::nullopt while the other VMs are
+  /// unknown.
+  std::optional<base::TimePoint> StartsAt_;
 };
 
 } // namespace ebony::traffic
--- a/src/libs/traffic/membertable.cpp
+++ b/src/libs/traffic/membertable.cpp
@@ -4,6 +4,15 @@
 
 namespace ebony::traffic {
 
+namespace {
+
+// Time for which a VM that is not heard of may still act on what all VMs share.
+// Losses of datagrams are much shorter; a VM that is gone leaves its part
+// unused for so long.
+constexpr base::Duration SilentVmDuration = std::chrono::seconds(60);
+
+} // namespace
+
 bool MemberTable::recordReport(const MemberReport &Report,
                                base::TimePoint Now) {
   if (Report.Name_ == OwnName_)
@@ -35,6 +44,27 @@
   return Result;
 }
 
+void MemberTable::setListed(const std::set<std::string> &Names,
+                            base::TimePoint Now) {
+  std::erase_if(
+      Listed_, [&](const auto &Entry) { return !Names.contains(Entry.first); });
+  for (const std::string &Name : Names)
+    Listed_.try_emplace(Name, Now);
+  IsListKnown_ = true;
+}
+
+std::vector<std::string> MemberTable::sharingNames(base::TimePoint Now) const {
+  std::vector<std::string> Result;
+  for (const auto &[Name, Entry] : Members_)
+    if (Now - Entry.LastReportAt_ <= SilentVmDuration)
+      Result.push_back(Name);
+  for (const auto &[Name, ListedAt] : Listed_)
+    if (Name != OwnName_ && !Members_.contains(Name) &&
+        Now - ListedAt <= SilentVmDuration)
+      Result.push_back(Name);
+  return Result;
+}
+
 const MemberReport *MemberTable::find(const std::string &Name) const {
   const auto Entry = Members_.find(Name);
   return Entry == Members_.end() ? nullptr : &Entry->second.Report_;
--- a/src/libs/traffic/membertable.h
+++ b/src/libs/traffic/membertable.h
@@ -6,6 +6,7 @@
 #include "traffic/memberreport.h"
 
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace ebony::traffic {
@@ -27,6 +28,18 @@
   /// Returns the sorted names of all live VMs and this one.
   std::vector<std::string> liveNames(base::TimePoint Now) const;
 
+  /// Records the VMs that the store lists.
+  void setListed(const std::set<std::string> &Names, base::TimePoint Now);
+
+  /// Returns whether the VMs that the store lists are known.
+  bool isListKnown() const { return IsListKnown_; }
+
+  /// Returns the names of the VMs, this one excluded, that may act on what all
+  /// VMs share, such as the request rate of a cold upstream. Besides the live
+  /// VMs these are the ones that fell silent a short time ago, or that are
+  /// listed and not heard of yet: they may be running and cut off.
+  std::vector<std::string> sharingNames(base::TimePoint Now) const;
+
   /// Returns the last report of a VM, regardless of its age.
   const MemberReport *find(const std::string &Name) const;
   bool isLive(const std::string &Name, base::TimePoint Now) const;
@@ -51,6 +64,9 @@
   std::string OwnName_;
   base::Duration MemberTimeout_;
   std::map<std::string, Member> Members_;
+  /// Listed VMs with the time at which their listing became known.
+  std::map<std::string, base::TimePoint> Listed_;
+  bool IsListKnown_ = false;
 };
 
 } // namespace ebony::traffic
--- a/src/libs/vm/peermessenger.cpp
+++ b/src/libs/vm/peermessenger.cpp
@@ -65,6 +65,10 @@
 void PeerMessenger::applyRows(const std::vector<store::Row> &Rows) {
   for (const store::Row &Row : Rows)
     applyRow(Row);
+  std::set<std::string> Names;
+  for (const auto &[Name, Address] : Peers_)
+    Names.insert(Name);
+  State_.Members_.setListed(Names, State_.now());
 }
 
 void PeerMessenger::applyRow(const store::Row &Row) {
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -171,7 +171,8 @@
   State_.logBlamedRequests("by", "expiry");
   State_.Connections_.expire(Now);
   const std::vector<std::string> Vms = State_.Members_.liveNames(Now);
-  State_.ColdLimiter_.setVms(Vms);
+  if (State_.Members_.isListKnown())
+    State_.ColdLimiter_.setOtherVms(State_.Members_.sharingNames(Now), Now);
   State_.RateLimiter_.setOtherVms(State_.Members_.live(Now));
   State_.Budget_.setVmCount(Vms.size(), Now);
   State_.Quota_.activatePlan(State_.Members_, Now);
--- a/tests/libs/traffic/coldfleet.h
+++ b/tests/libs/traffic/coldfleet.h
@@ -112,6 +112,10 @@
 
   std::shared_ptr<Vm> makeVm(int Number, base::TimePoint Now) {
     auto Made = std::make_shared<Vm>(nameOf(Number));
+    std::set<std::string> Listed;
+    for (int I = 0; I < Settings_.Vms_; ++I)
+      Listed.insert(nameOf(I));
+    Made->Members_.setListed(Listed, Now);
     Made->Upstream_.NameHash_ = Settings_.Seed_ * 7919;
     Made->Upstream_.ColdUntil_ = at(Settings_.Length_);
     Made->NextTick_ = Now + seconds(Random_.unit() * 0.25);
@@ -151,7 +155,7 @@
   void step(Vm &Sender, base::TimePoint Now) {
     if (Now >= Sender.NextTick_) {
       Sender.NextTick_ = Now + TickInterval;
-      Sender.Limiter_.setVms(Sender.Members_.liveNames(Now));
+      Sender.Limiter_.setOtherVms(Sender.Members_.sharingNames(Now), Now);
     }
     if (!Sender.Limiter_.allows(Sender.Upstream_, Settings_.LimitPerSecond_,
                                 Now))
--- a/tests/libs/traffic/coldupstreamfloodtest.cpp
+++ b/tests/libs/traffic/coldupstreamfloodtest.cpp
@@ -75,4 +75,15 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(vmThatKnowsNoOthersSendsNothing) {
+  ColdUpstreamLimiter Limiter("vm0", 0.8);
+  UpstreamState Upstream;
+  BOOST_TEST(Limiter.allows(Upstream, 10, at(0s)));
+  Upstream.ColdUntil_ = at(60s);
+  BOOST_TEST(!Limiter.allows(Upstream, 10, at(1s)));
+  Limiter.setOtherVms({"vm1"}, at(2s));
+  BOOST_TEST(!Limiter.allows(Upstream, 10, at(3s)));
+  BOOST_TEST(Limiter.allows(Upstream, 10, at(4s)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libs/traffic/membertabletest.cpp
+++ b/tests/libs/traffic/membertabletest.cpp
@@ -109,4 +109,21 @@
   BOOST_TEST(!readsForRegion(StaleOwnReport, Members_, at(5s)));
 }
 
+// A VM that is not heard of may be running and cut off.
+BOOST_AUTO_TEST_CASE(silentAndListedVmsCountAmongThoseThatShare) {
+  const std::set<std::string> Listed = {"vm0", "vm1", "vm2"};
+  BOOST_TEST(!Members_.isListKnown());
+  Members_.setListed(Listed, at(0s));
+  BOOST_TEST(Members_.isListKnown());
+  BOOST_TEST((Members_.sharingNames(at(1s)) == Addresses{"vm1", "vm2"}));
+  Members_.recordReport(report("vm1"), at(10s));
+  Members_.recordReport(report("vm3"), at(10s));
+  BOOST_TEST(
+      (Members_.sharingNames(at(50s)) == Addresses{"vm1", "vm3", "vm2"}));
+  BOOST_TEST((Members_.sharingNames(at(65s)) == Addresses{"vm1", "vm3"}));
+  BOOST_TEST(Members_.sharingNames(at(80s)).empty());
+  Members_.setListed({"vm0", "vm4"}, at(80s));
+  BOOST_TEST((Members_.sharingNames(at(81s)) == Addresses{"vm4"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libs/traffic/trafficpolicytest.cpp
+++ b/tests/libs/traffic/trafficpolicytest.cpp
@@ -26,7 +26,9 @@
   std::vector<ColdUpstreamLimiter> Limiters;
   std::vector<UpstreamState> Views(Vms);
   for (int I = 0; I < Vms; ++I) {
-    Limiters.emplace_back(Names[I], 0.8).setVms(Names);
+    std::vector<std::string> Others = Names;
+    std::erase(Others, Names[I]);
+    Limiters.emplace_back(Names[I], 0.8).setOtherVms(Others, at(-5s));
     Views[I].NameHash_ = 99;
     Views[I].ColdUntil_ = at(10s);
   }
