--- a/src/libs/vm/requestexchange.cpp
+++ b/src/libs/vm/requestexchange.cpp
@@ -252,6 +252,7 @@
           valueOf(Attempt_->fields(), State_.Platform_.Headers_.Stamp_).empty())
         Result = AttemptResult::ConnectionLost;
       recordNamedLimit(*Chosen.Upstream_, Result, Started);
+      recordReachability(*Chosen.Upstream_, Result);
     }
     AsyncDispatcher_.finish(Placed, Result, State_.now() - Started);
     Job = std::move(Placed.Job_);
@@ -312,6 +313,22 @@
   State_.AreReportsDue_ = true;
 }
 
+void RequestExchange::recordReachability(const traffic::UpstreamState &Upstream,
+                                         AttemptResult Result) {
+  const base::TimePoint Now = State_.now();
+  if (Attempt_->hasOpenedConnection())
+    State_.Reachability_.recordConnection(Now);
+  if (Attempt_->hasResponse()) {
+    State_.Reachability_.recordResponse(Now);
+    return;
+  }
+  if (Result == AttemptResult::Unreachable)
+    State_.Metrics_.FailedConnections_.add();
+  if (Result == AttemptResult::Unreachable ||
+      Result == AttemptResult::ConnectionLost)
+    State_.Reachability_.recordFailure(Upstream.Entry_.Name_);
+}
+
 traffic::RequestFingerprint RequestExchange::fingerprint() {
   if (!Fingerprint_)
     Fingerprint_ = fingerprintOf(Request_);
@@ -330,8 +347,8 @@
                                  base::TimePoint Started) {
   VmState &State = Self->State_;
   const base::TimePoint LostAt = State.now();
-  const bool HasEnded = co_await hasUpstreamEnded(State, Upstream);
-  if (!HasEnded)
+  const ProbeResult Probe = co_await probeUpstream(State, Upstream);
+  if (Probe != ProbeResult::Refused)
     co_return;
   State.Metrics_.UpstreamEnds_.add();
   const traffic::RequestFingerprint Fingerprint = Self->fingerprint();
--- a/src/libs/vm/requestexchange.h
+++ b/src/libs/vm/requestexchange.h
@@ -62,6 +62,9 @@
   /// Records the request rate that the response named, or that it named none.
   void recordNamedLimit(traffic::UpstreamState &Upstream,
                         traffic::AttemptResult Result, base::TimePoint Started);
+  /// Records what an attempt shows about the way to the upstreams.
+  void recordReachability(const traffic::UpstreamState &Upstream,
+                          traffic::AttemptResult Result);
   /// Finds out whether the upstream ended while it ran the request, which was
   /// sent at \p Started, and records it.
   static asynckit::awaitable<void>
--- a/src/libs/vm/upstreamattempt.cpp
+++ b/src/libs/vm/upstreamattempt.cpp
@@ -174,6 +174,7 @@
   Timer_.disarm();
   if (Error || IsAbandoned_)
     co_return false;
+  HasOpenedConnection_ = true;
   Connection_->socket().set_option(asio::ip::tcp::no_delay(true), Error);
   const int Handle = Connection_->socket().native_handle();
   setsockopt(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &TcpUserTimeoutMs,
--- a/src/libs/vm/upstreamattempt.h
+++ b/src/libs/vm/upstreamattempt.h
@@ -69,6 +69,10 @@
   const std::string &body() const { return Body_; }
   bool isComplete() const { return Parser_ && Parser_->is_done(); }
   bool wasSent() const { return WasSent_; }
+  /// Returns whether the attempt opened a new connection.
+  bool hasOpenedConnection() const { return HasOpenedConnection_; }
+  /// Returns whether the head of a response has arrived.
+  bool hasResponse() const { return Parser_ && Parser_->is_header_done(); }
   /// Returns the Content-Length of the response; -1 if it has none.
   std::int64_t bodyLength() const;
 
@@ -97,6 +101,7 @@
   bool IsSending_ = false;
   bool HasSendFailed_ = false;
   bool WasSent_ = false;
+  bool HasOpenedConnection_ = false;
   bool IsAbandoned_ = false;
 };
 
--- a/src/libs/vm/upstreamprobe.cpp
+++ b/src/libs/vm/upstreamprobe.cpp
@@ -14,13 +14,13 @@
 
 } // namespace
 
-asynckit::awaitable<bool> hasUpstreamEnded(VmState &State,
-                                           traffic::UpstreamPtr Upstream) {
+asynckit::awaitable<ProbeResult> probeUpstream(VmState &State,
+                                               traffic::UpstreamPtr Upstream) {
   const traffic::UpstreamEntry &Entry = Upstream->Entry_;
   asynckit::error_code Error;
   const auto Address = asio::ip::make_address(Entry.Address_, Error);
   if (Error)
-    co_return false;
+    co_return ProbeResult::Unanswered;
   const UpstreamConnectionPtr Connection = State.Connections_.create();
   asynckit::Deadline Timeout(State.Deadlines_);
   Timeout.arm(State.now() + ProbeTimeout,
@@ -28,12 +28,19 @@
   const asio::ip::tcp::endpoint Endpoint(Address, Entry.Port_);
   co_await Connection->socket().async_connect(Endpoint, asynckit::into(Error));
   Timeout.disarm();
-  if (Error)
-    co_return Error == asio::error::connection_refused;
+  const base::TimePoint Now = State.now();
+  if (Error) {
+    State.Metrics_.FailedConnections_.add();
+    State.Reachability_.recordFailure(Entry.Name_);
+    const bool IsRefused = Error == asio::error::connection_refused ||
+                           Error == asio::error::connection_reset;
+    co_return IsRefused ? ProbeResult::Refused : ProbeResult::Unanswered;
+  }
+  State.Reachability_.recordConnection(Now);
   Connection->KeepAlive_ = AssumedKeepAlive;
   if (Upstream->IsListed_)
-    State.Connections_.release(Entry.Name_, Connection, State.now());
-  co_return false;
+    State.Connections_.release(Entry.Name_, Connection, Now);
+  co_return ProbeResult::Connected;
 }
 
 } // namespace ebony::vm
--- a/src/libs/vm/upstreamprobe.h
+++ b/src/libs/vm/upstreamprobe.h
@@ -6,11 +6,13 @@
 
 namespace ebony::vm {
 
-/// Returns whether nothing listens at the address of \p Upstream any more, so
-/// that its process has ended. A connection that succeeds is kept for a later
+/// Outcome of a connection that is opened to learn whether an upstream listens.
+enum class ProbeResult { Connected, Refused, Unanswered };
+
+/// Opens a connection to \p Upstream. One that succeeds is kept for a later
 /// request.
-asynckit::awaitable<bool> hasUpstreamEnded(VmState &State,
-                                           traffic::UpstreamPtr Upstream);
+asynckit::awaitable<ProbeResult> probeUpstream(VmState &State,
+                                               traffic::UpstreamPtr Upstream);
 
 } // namespace ebony::vm
 
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -53,6 +53,8 @@
                  [this](const std::string &Vm, const peers::TokenAsk &Ask) {
                    Messenger_.sendTokenAsk(Vm, Ask);
                  }),
+      Prober_(State, base::RandomEngine(
+                         static_cast<std::uint64_t>(State.Incarnation_))),
       VmTableFollower_(State, VmTableName, trustedPace(State.Bounds_),
                        {[this](const std::vector<store::Row> &Rows) {
                           Messenger_.replaceRows({});
@@ -162,6 +164,7 @@
   const base::TimePoint Now = State_.now();
   State_.Deadlines_.tick(Now);
   AsyncDispatcher_.poll();
+  Prober_.tick();
   Messenger_.sendDueReports();
   if (Now - LastSlowTick_ < SlowTickInterval)
     return;
--- a/src/libs/vm/vmdaemon.h
+++ b/src/libs/vm/vmdaemon.h
@@ -5,6 +5,7 @@
 #include "vm/peermessenger.h"
 #include "vm/quotaadmission.h"
 #include "vm/quotaplanupdater.h"
+#include "vm/reachabilityprober.h"
 #include "vm/simplehttpserver.h"
 #include "vm/statesynchronizer.h"
 
@@ -41,6 +42,7 @@
   PeerMessenger Messenger_;
   QuotaPlanUpdater QuotaPlanUpdater_;
   QuotaAdmission Admission_;
+  ReachabilityProber Prober_;
   TableFollower VmTableFollower_;
   SimpleHttpServer ReadinessServer_;
   SimpleHttpServer DirectoryServer_;
--- a/src/libs/vm/vmmetrics.cpp
+++ b/src/libs/vm/vmmetrics.cpp
@@ -43,6 +43,12 @@
                                        "Upstreams taken for cold.", "", Gauge)),
       SendsToCold_(Registry_.counter("ebony_sends_to_cold_upstreams_total",
                                      "Requests sent to cold upstreams.")),
+      ReachesUpstreams_(Registry_.counter(
+          "ebony_reaches_upstreams",
+          "1 if this VM reaches upstreams, 0 if it reaches none.", "", Gauge)),
+      FailedConnections_(Registry_.counter(
+          "ebony_failed_upstream_connections_total",
+          "Connections to upstreams that could not be opened.")),
       UpstreamEnds_(Registry_.counter(
           "ebony_requests_lost_with_upstream_total",
           "Requests under way at an upstream whose process ended.")),
@@ -51,7 +57,9 @@
           "Requests refused because they end upstreams.", "", Gauge)),
       DroppedLines_(Registry_.counter("ebony_log_lines_dropped",
                                       "Log lines that found no reader.", "",
-                                      Gauge)) {}
+                                      Gauge)) {
+  ReachesUpstreams_.set(1);
+}
 
 void VmMetrics::countRequest(const std::string &Outcome,
                              const std::string &Reason) {
--- a/src/libs/vm/vmmetrics.h
+++ b/src/libs/vm/vmmetrics.h
@@ -34,6 +34,8 @@
   telemetry::Counter &SendsToLimited_;
   telemetry::Counter &ColdUpstreams_;
   telemetry::Counter &SendsToCold_;
+  telemetry::Counter &ReachesUpstreams_;
+  telemetry::Counter &FailedConnections_;
   telemetry::Counter &UpstreamEnds_;
   telemetry::Counter &BlamedRequests_;
   telemetry::Counter &DroppedLines_;
--- a/src/libs/vm/vmstate.h
+++ b/src/libs/vm/vmstate.h
@@ -12,6 +12,7 @@
 #include "traffic/membertable.h"
 #include "traffic/retrybudget.h"
 #include "traffic/trafficsplitter.h"
+#include "traffic/upstreamreachability.h"
 #include "vm/fleetbounds.h"
 #include "vm/platformbinding.h"
 #include "vm/tablenewsrouter.h"
@@ -79,6 +80,7 @@
   traffic::ColdUpstreamLimiter ColdLimiter_;
   traffic::UpstreamRateLimiter RateLimiter_;
   traffic::Dispatcher Dispatcher_;
+  traffic::UpstreamReachability Reachability_;
   traffic::CrashLedger Crashes_;
   traffic::CustomerRateLimiter Quota_;
   traffic::RetryBudget Budget_;
