--- a/src/libs/vm/reachabilityprober.cpp
+++ b/src/libs/vm/reachabilityprober.cpp
@@ -60,7 +60,8 @@
 asynckit::awaitable<void>
 ReachabilityProber::probe(traffic::UpstreamPtr Upstream,
                           std::shared_ptr<Round> Current) {
-  switch (co_await probeUpstream(State_, std::move(Upstream))) {
+  const ProbeResult Result = co_await probeUpstream(State_, Upstream);
+  switch (Result) {
   case ProbeResult::Connected:
     ++Current->Outcome_.Connected_;
     break;
