Send callers away from VMs that reach no upstream

Its reports now say so, at once when it changes, and directories, its own among them, name other VMs, of another region if need be; if no VM reaches upstreams all are named as before. membertabletest fails without the change (the VM is named).

--- a/src/libs/peers/datagram.thrift
+++ b/src/libs/peers/datagram.thrift
@@ -60,6 +60,8 @@
   16: list<RequestMark> blamed
   /** Requests of which an upstream answered one. */
   17: list<RequestMark> cleared
+  /** Whether the sender has lost the way to all upstreams. */
+  18: bool reachesNoUpstream
 }
 
 struct Row {
--- a/src/libs/peers/datagramcodec.cpp
+++ b/src/libs/peers/datagramcodec.cpp
@@ -108,6 +108,7 @@
   Message.isReady = Report.IsReady_;
   Message.isLeaving = Report.IsLeaving_;
   Message.isCurrent = Report.IsCurrent_;
+  Message.reachesNoUpstream = Report.ReachesNoUpstream_;
   Message.quotaPlan = Report.QuotaPlanVersion_;
   Message.corePermille = Report.CorePermille_;
   for (const auto &[Tag, Count] : Report.InFlight_)
@@ -136,6 +137,7 @@
   Report.IsReady_ = Message.isReady;
   Report.IsLeaving_ = Message.isLeaving;
   Report.IsCurrent_ = Message.isCurrent;
+  Report.ReachesNoUpstream_ = Message.reachesNoUpstream;
   Report.QuotaPlanVersion_ = Message.quotaPlan;
   Report.CorePermille_ = Message.corePermille;
   for (const auto &[Tag, Count] : Message.inFlight)
--- a/src/libs/traffic/entrydirectory.cpp
+++ b/src/libs/traffic/entrydirectory.cpp
@@ -32,6 +32,10 @@
   // is better. If none is fresh, all are equal again.
   preferMatching(Candidates,
                  [](const MemberReport *Report) { return Report->IsCurrent_; });
+  // A VM that reaches no upstream relays requests, which takes longer.
+  preferMatching(Candidates, [](const MemberReport *Report) {
+    return !Report->ReachesNoUpstream_;
+  });
   preferMatching(Candidates, [&](const MemberReport *Report) {
     return Report->Region_ == Region;
   });
--- a/src/libs/traffic/entrydirectory.h
+++ b/src/libs/traffic/entrydirectory.h
@@ -9,7 +9,8 @@
 /// of other regions if its own has none.
 ///
 /// Load pattern: zones with one VM and zones with three under the same number
-/// of callers. Callers choose at random among the addresses returned.
+/// of callers; VMs that lose the way to the store or to all upstreams. Callers
+/// choose at random among the addresses returned.
 class EntryDirectory {
 public:
   EntryDirectory(std::size_t MaxAddresses, base::RandomEngine Random)
--- a/src/libs/traffic/memberreport.h
+++ b/src/libs/traffic/memberreport.h
@@ -26,6 +26,9 @@
   bool IsLeaving_ = false;
   /// Whether the VM's copy of the store data is fresh enough to accept keys.
   bool IsCurrent_ = false;
+  /// Whether the VM has lost the way to all upstreams, so that it relays its
+  /// callers' requests to other VMs.
+  bool ReachesNoUpstream_ = false;
   /// Version of the quota plan that the VM has applied.
   std::int64_t QuotaPlanVersion_ = 0;
   /// CPU share of the VM in thousandths of a core.
--- a/src/libs/vm/reachabilityprober.cpp
+++ b/src/libs/vm/reachabilityprober.cpp
@@ -82,6 +82,7 @@
     return;
   const bool Reaches = State_.Reachability_.reachesUpstreams();
   State_.Metrics_.ReachesUpstreams_.set(Reaches ? 1 : 0);
+  State_.AreReportsDue_ = true;
   State_.log(EventLine(Reaches ? "upstreams-regained" : "upstreams-lost")
                  .add("connected", Outcome.Connected_)
                  .add("refused", Outcome.Refused_)
--- a/src/libs/vm/vmstate.cpp
+++ b/src/libs/vm/vmstate.cpp
@@ -131,6 +131,7 @@
   Report.IsCurrent_ =
       KeyTrust_.age(now()) < scaled(Bounds_.KeyWithdrawal_, CurrentFraction) &&
       PlanTrust_.isFresh(now());
+  Report.ReachesNoUpstream_ = !Reachability_.reachesUpstreams();
   Report.QuotaPlanVersion_ = Quota_.plan().Version_;
   Report.CorePermille_ =
       static_cast<int>(std::lround(Settings_.CoreShare_ * Permille));
--- a/tests/libs/peers/datagramcodectest.cpp
+++ b/tests/libs/peers/datagramcodectest.cpp
@@ -17,6 +17,7 @@
   Report.Region_ = base::RegionName("east");
   Report.IsReady_ = true;
   Report.IsCurrent_ = true;
+  Report.ReachesNoUpstream_ = true;
   Report.QuotaPlanVersion_ = 9;
   Report.CorePermille_ = 200;
   Report.InFlight_[traffic::tagOf("u1")] = 3;
--- a/tests/libs/traffic/membertabletest.cpp
+++ b/tests/libs/traffic/membertabletest.cpp
@@ -109,6 +109,18 @@
   BOOST_TEST(!readsForRegion(StaleOwnReport, Members_, at(5s)));
 }
 
+// Callers are sent to another region rather than to VMs that reach no upstream.
+// If none reaches one, all are named.
+BOOST_AUTO_TEST_CASE(vmsWithoutUpstreamsAreNamedOnlyWhenNoneHasAny) {
+  OwnReport_.ReachesNoUpstream_ = true;
+  MemberReport Other = report("vm1", "west-a");
+  Members_.recordReport(Other, at(0s));
+  BOOST_TEST((resolve(East, at(1s)) == Addresses{"vm1:80"}));
+  Other.ReachesNoUpstream_ = true;
+  Members_.recordReport(Other, at(1s));
+  BOOST_TEST((resolve(East, at(1s)) == Addresses{"vm0:80"}));
+}
+
 // A VM that is not heard of may be running and cut off.
 BOOST_AUTO_TEST_CASE(silentAndListedVmsCountAmongThoseThatShare) {
   const std::set<std::string> Listed = {"vm0", "vm1", "vm2"};
