Do not take the loss of a VM's link for failures of its upstreams

After the way to the upstreams was back, callers of the VM went on being refused (overload, unreachable), because it had ejected upstream after upstream and raised their predicted latency.

Failures in a row are discarded when the VM finds that it reaches no upstream, and again when it does, and none is recorded in between. An upstream counts as ended only if another one is reached at the same time; a deployment with a single upstream therefore blames no content.

--- a/src/libs/traffic/upstreamhealth.cpp
+++ b/src/libs/traffic/upstreamhealth.cpp
@@ -50,6 +50,10 @@
   const ResultClass Class = classify(Result);
   if (Class.IsIgnored_)
     return false;
+  if (Class.IsFailure_ && Upstream.FailuresInRow_ == 0) {
+    Upstream.EarlierLatencyFactor_ = Upstream.LatencyFactor_;
+    Upstream.EarlierFailureShare_ = Upstream.FailureShare_;
+  }
   Upstream.FailureShare_ = Upstream.FailureShare_ * (1 - ResultWeight) +
                            (Class.IsFailure_ ? ResultWeight : 0.0);
   if (!Class.IsFailure_) {
@@ -67,4 +71,14 @@
   return true;
 }
 
+void UpstreamHealth::forgetFailures(UpstreamState &Upstream) {
+  if (Upstream.FailuresInRow_ == 0)
+    return;
+  Upstream.FailuresInRow_ = 0;
+  Upstream.LatencyFactor_ = Upstream.EarlierLatencyFactor_;
+  Upstream.FailureShare_ = Upstream.EarlierFailureShare_;
+  Upstream.EjectionDuration_ = base::Duration::zero();
+  Upstream.EjectedUntil_ = {};
+}
+
 } // namespace ebony::traffic
--- a/src/libs/traffic/upstreamhealth.h
+++ b/src/libs/traffic/upstreamhealth.h
@@ -17,6 +17,9 @@
   /// Records the result of one attempt. Returns true if it ejects the upstream.
   bool recordResult(UpstreamState &Upstream, AttemptResult Result,
                     base::TimePoint Now) const;
+
+  /// Discards the failures in a row: not the upstream caused them.
+  static void forgetFailures(UpstreamState &Upstream);
 };
 
 } // namespace ebony::traffic
--- a/src/libs/traffic/upstreamreachability.h
+++ b/src/libs/traffic/upstreamreachability.h
@@ -60,11 +60,10 @@
 
   bool reachesUpstreams() const { return ReachesUpstreams_; }
 
-  /// Returns whether a connection was opened or a response has arrived after
-  /// \p Since, so that an upstream that fails does so by itself.
-  bool hasReachedSince(base::TimePoint Since) const {
-    return ReachesUpstreams_ &&
-           (LastConnection_ > Since || LastResponse_ > Since);
+  /// Returns whether a connection was opened after \p Since, so that an
+  /// upstream that refuses one does so by itself.
+  bool hasConnectedSince(base::TimePoint Since) const {
+    return ReachesUpstreams_ && LastConnection_ > Since;
   }
 
   /// Returns the number of upstreams that failed since the last connection.
--- a/src/libs/traffic/upstreamstate.h
+++ b/src/libs/traffic/upstreamstate.h
@@ -33,6 +33,9 @@
   /// Smoothed share of failed attempts.
   double FailureShare_ = 0.0;
   int FailuresInRow_ = 0;
+  /// LatencyFactor_ and FailureShare_ before the failures in a row.
+  double EarlierLatencyFactor_ = 1.0;
+  double EarlierFailureShare_ = 0.0;
   /// Length of the last ejection; zero after a success.
   base::Duration EjectionDuration_{};
   base::TimePoint EjectedUntil_{};
--- a/src/libs/vm/asyncdispatcher.cpp
+++ b/src/libs/vm/asyncdispatcher.cpp
@@ -30,6 +30,10 @@
   const traffic::UpstreamState &Upstream = *Finished.Placement_.Upstream_;
   const base::TimePoint Now = State_.now();
   const bool WasEjected = Upstream.isEjected(Now);
+  // While this VM reaches no upstream, a failure says nothing about this one.
+  if (!State_.Reachability_.reachesUpstreams() &&
+      Result != traffic::AttemptResult::Answered)
+    Result = traffic::AttemptResult::CallerLeft;
   State_.Dispatcher_.finishAttempt(Finished.Placement_, *Finished.Job_, Result,
                                    Elapsed, Now);
   if (!WasEjected && Upstream.isEjected(Now))
--- a/src/libs/vm/reachabilityprober.cpp
+++ b/src/libs/vm/reachabilityprober.cpp
@@ -1,5 +1,7 @@
 #include "vm/reachabilityprober.h"
 
+#include "traffic/upstreamhealth.h"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -83,6 +85,9 @@
   const bool Reaches = State_.Reachability_.reachesUpstreams();
   State_.Metrics_.ReachesUpstreams_.set(Reaches ? 1 : 0);
   State_.AreReportsDue_ = true;
+  // The failures showed the loss of this VM's link.
+  for (const auto &[Name, Upstream] : State_.Upstreams_.all())
+    traffic::UpstreamHealth::forgetFailures(*Upstream);
   State_.log(EventLine(Reaches ? "upstreams-regained" : "upstreams-lost")
                  .add("connected", Outcome.Connected_)
                  .add("refused", Outcome.Refused_)
--- a/src/libs/vm/requestexchange.cpp
+++ b/src/libs/vm/requestexchange.cpp
@@ -387,8 +387,8 @@
                                  base::TimePoint Started) {
   VmState &State = Self->State_;
   const base::TimePoint LostAt = State.now();
-  const ProbeResult Probe = co_await probeUpstream(State, Upstream);
-  if (Probe != ProbeResult::Refused)
+  const bool HasEnded = co_await hasUpstreamEnded(State, Upstream);
+  if (!HasEnded)
     co_return;
   State.Metrics_.UpstreamEnds_.add();
   const traffic::RequestFingerprint Fingerprint = Self->fingerprint();
--- a/src/libs/vm/upstreamprobe.cpp
+++ b/src/libs/vm/upstreamprobe.cpp
@@ -12,6 +12,21 @@
 // Keep-alive timeout of a connection on which no response has stated one.
 constexpr base::Duration AssumedKeepAlive = std::chrono::seconds(2);
 
+/// Returns an upstream other than \p Excluded, of another zone if there is one;
+/// null if there is none.
+traffic::UpstreamPtr findOther(const traffic::UpstreamTable &Table,
+                               const traffic::UpstreamPtr &Excluded) {
+  traffic::UpstreamPtr SameZone;
+  for (const auto &[Name, Upstream] : Table.all()) {
+    if (Upstream == Excluded || Upstream->FailuresInRow_ > 0)
+      continue;
+    if (Upstream->Entry_.Zone_ != Excluded->Entry_.Zone_)
+      return Upstream;
+    SameZone = Upstream;
+  }
+  return SameZone;
+}
+
 } // namespace
 
 asynckit::awaitable<ProbeResult> probeUpstream(VmState &State,
@@ -43,4 +58,21 @@
   co_return ProbeResult::Connected;
 }
 
+asynckit::awaitable<bool> hasUpstreamEnded(VmState &State,
+                                           traffic::UpstreamPtr Upstream) {
+  const base::TimePoint Started = State.now();
+  const ProbeResult Result = co_await probeUpstream(State, Upstream);
+  if (Result != ProbeResult::Refused)
+    co_return false;
+  if (State.Reachability_.hasConnectedSince(Started))
+    co_return true;
+  // Without another upstream that is reached, the loss of this VM's link looks
+  // the same.
+  const traffic::UpstreamPtr Other = findOther(State.Upstreams_, Upstream);
+  if (!Other)
+    co_return false;
+  const ProbeResult OtherResult = co_await probeUpstream(State, Other);
+  co_return OtherResult == ProbeResult::Connected;
+}
+
 } // namespace ebony::vm
--- a/src/libs/vm/upstreamprobe.h
+++ b/src/libs/vm/upstreamprobe.h
@@ -14,6 +14,11 @@
 asynckit::awaitable<ProbeResult> probeUpstream(VmState &State,
                                                traffic::UpstreamPtr Upstream);
 
+/// Returns whether the process of \p Upstream has ended: nothing listens at its
+/// address, while another upstream is reached.
+asynckit::awaitable<bool> hasUpstreamEnded(VmState &State,
+                                           traffic::UpstreamPtr Upstream);
+
 } // namespace ebony::vm
 
 #endif
--- a/tests/libs/traffic/upstreamreachabilitytest.cpp
+++ b/tests/libs/traffic/upstreamreachabilitytest.cpp
@@ -65,7 +65,7 @@
   failThree();
   BOOST_TEST(probe(0, 6, 1s));
   BOOST_TEST(!Reachability_.reachesUpstreams());
-  BOOST_TEST(!Reachability_.hasReachedSince(at(0s)));
+  BOOST_TEST(!Reachability_.hasConnectedSince(at(0s)));
 }
 
 // Upstreams of one zone failed; those of the others are reached.
--- a/tests/libs/vm/vmwithoutupstreamstest.cpp
+++ b/tests/libs/vm/vmwithoutupstreamstest.cpp
@@ -1,4 +1,5 @@
 #include "libs/vm/daemonfleetfixture.h"
+#include "vm/upstreamprobe.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -46,6 +47,8 @@
     BOOST_TEST(!isNamed(0, 0));
     const int RelayedCount = co_await countServed(0, 20);
     BOOST_TEST(RelayedCount == 20);
+    for (const Vm &One : Vms_)
+      BOOST_TEST(One.State_->Crashes_.isEmpty());
     mend(0);
     const bool IsBack = co_await await([this] { return isNamed(1, 0); });
     BOOST_TEST(IsBack);
@@ -54,6 +57,20 @@
   }
 };
 
+asynckit::awaitable<void> checkEvidence(DaemonFleetFixture &Fleet) {
+  const bool IsUp = co_await Fleet.awaitFleet();
+  BOOST_TEST_REQUIRE(IsUp);
+  VmState &State = *Fleet.Vms_[0].State_;
+  const traffic::UpstreamPtr First =
+      State.Upstreams_.find(base::UpstreamName("u0"));
+  Fleet.Vms_[0].Links_[0]->cut(CutKind::Reset);
+  const bool HasEndedAlone = co_await hasUpstreamEnded(State, First);
+  BOOST_TEST(HasEndedAlone);
+  Fleet.cut(0, CutKind::Reset);
+  const bool HasEndedWithAll = co_await hasUpstreamEnded(State, First);
+  BOOST_TEST(!HasEndedWithAll);
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(vmwithoutupstreamstest, Fixture)
@@ -72,4 +89,10 @@
   run(cutAndCheck(CutKind::HalfOpen));
 }
 
+// A VM that has lost its link must not report that upstreams ended, or contents
+// are blamed that ended none.
+BOOST_AUTO_TEST_CASE(lostLinkIsNoEvidenceThatUpstreamsEnded) {
+  run(checkEvidence(*this));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
