Keep the last send to a cold upstream when it is listed anew

The time of a VM's last send stood in the upstream's state, which begins anew when an entry lapses and comes back or names another run: all holders could send twice within a second. It now stands in the limiter, by the upstream's name. upstreamListedAnewKeepsItsLastSend holds the case; the old state had no place that survives it.

--- a/src/libs/traffic/coldupstreamlimiter.cpp
+++ b/src/libs/traffic/coldupstreamlimiter.cpp
@@ -19,6 +19,9 @@
   OtherHashes_.clear();
   for (const std::string &Name : Names)
     OtherHashes_.push_back(base::stableHash(Name));
+  std::erase_if(LastSends_, [Now](const auto &Entry) {
+    return Now - Entry.second >= MinSendInterval;
+  });
   // What the VM sent before a restart is not known.
   if (!StartsAt_)
     StartsAt_ = Now + MinSendInterval;
@@ -31,8 +34,8 @@
     return true;
   if (!StartsAt_ || Now < *StartsAt_)
     return false;
-  if (Upstream.LastColdSend_ != base::TimePoint{} &&
-      Now - Upstream.LastColdSend_ < MinSendInterval)
+  const auto LastSend = LastSends_.find(Upstream.NameHash_);
+  if (LastSend != LastSends_.end() && Now - LastSend->second < MinSendInterval)
     return false;
   const auto Rank = static_cast<double>(countHigherRanked(Upstream) + 1);
   return Rank <= LimitPerSecond * Share_;
--- a/src/libs/traffic/coldupstreamlimiter.h
+++ b/src/libs/traffic/coldupstreamlimiter.h
@@ -4,6 +4,7 @@
 #include "traffic/upstreamstate.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -35,6 +36,11 @@
   bool allows(const UpstreamState &Upstream, double LimitPerSecond,
               base::TimePoint Now) const;
 
+  /// Records that this VM sends a request to \p Upstream, which is cold.
+  void recordSend(const UpstreamState &Upstream, base::TimePoint Now) {
+    LastSends_[Upstream.NameHash_] = Now;
+  }
+
   /// Returns how many VMs share the limit, this one included.
   std::size_t vmCount() const { return OtherHashes_.size() + 1; }
 
@@ -45,6 +51,9 @@
   std::string OwnName_;
   double Share_;
   std::vector<std::uint64_t> OtherHashes_;
+  /// Times of the last sends by the hash of the upstream's name; an upstream
+  /// may be listed anew between two sends.
+  std::map<std::uint64_t, base::TimePoint> LastSends_;
   /// Time from which requests may be sent; std::nullopt while the other VMs are
   /// unknown.
   std::optional<base::TimePoint> StartsAt_;
--- a/src/libs/traffic/dispatcher.cpp
+++ b/src/libs/traffic/dispatcher.cpp
@@ -125,7 +125,7 @@
   ++Upstream.InFlight_;
   RateLimiter_.recordSend(Upstream, Now);
   if (Upstream.isCold(Now))
-    Upstream.LastColdSend_ = Now;
+    ColdLimiter_.recordSend(Upstream, Now);
   Request.Tried_.push_back(Upstream.Entry_.Name_);
 }
 
--- a/src/libs/traffic/upstreamstate.h
+++ b/src/libs/traffic/upstreamstate.h
@@ -25,8 +25,6 @@
   /// Requests in flight according to the last reports of the other VMs.
   int InFlightElsewhere_ = 0;
   base::TimePoint ColdUntil_{};
-  /// Time at which this VM last sent a request while the upstream was cold.
-  base::TimePoint LastColdSend_{};
   /// Smoothed ratio of measured to expected processing time at the last update.
   double LatencyFactor_ = 1.0;
   base::TimePoint LatencyFactorUpdatedAt_{};
--- a/tests/libs/traffic/coldfleet.h
+++ b/tests/libs/traffic/coldfleet.h
@@ -160,7 +160,7 @@
     if (!Sender.Limiter_.allows(Sender.Upstream_, Settings_.LimitPerSecond_,
                                 Now))
       return;
-    Sender.Upstream_.LastColdSend_ = Now;
+    Sender.Limiter_.recordSend(Sender.Upstream_, Now);
     Arrivals_.push_back(Now);
   }
 
--- a/tests/libs/traffic/coldupstreamfloodtest.cpp
+++ b/tests/libs/traffic/coldupstreamfloodtest.cpp
@@ -86,4 +86,23 @@
   BOOST_TEST(Limiter.allows(Upstream, 10, at(4s)));
 }
 
+// An entry may lapse and come back, or name another run of the process.
+BOOST_AUTO_TEST_CASE(upstreamListedAnewKeepsItsLastSend) {
+  ColdUpstreamLimiter Limiter("vm0", 0.8);
+  Limiter.setOtherVms({}, at(0s));
+  UpstreamTable Table = table();
+  UpstreamEntry Entry = upstream("u1", "east-a");
+  Entry.ColdRemaining_ = 9s;
+  Table.put(Entry, at(2s));
+  BOOST_TEST(Limiter.allows(*Table.find(Entry.Name_), 10, at(2s)));
+  Limiter.recordSend(*Table.find(Entry.Name_), at(2s));
+  Table.remove(Entry.Name_, at(2100ms));
+  Table.put(Entry, at(2200ms));
+  BOOST_TEST(!Limiter.allows(*Table.find(Entry.Name_), 10, at(2300ms)));
+  ++Entry.StartedUnixMs_;
+  Table.put(Entry, at(2400ms));
+  BOOST_TEST(!Limiter.allows(*Table.find(Entry.Name_), 10, at(2500ms)));
+  BOOST_TEST(Limiter.allows(*Table.find(Entry.Name_), 10, at(3300ms)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libs/traffic/trafficpolicytest.cpp
+++ b/tests/libs/traffic/trafficpolicytest.cpp
@@ -36,7 +36,7 @@
   for (base::Duration Time{}; Time < 5s; Time += 10ms)
     for (int I = 0; I < Vms; ++I)
       if (Limiters[I].allows(Views[I], FleetLimit, at(Time))) {
-        Views[I].LastColdSend_ = at(Time);
+        Limiters[I].recordSend(Views[I], at(Time));
         Sent.push_back(at(Time));
       }
   BOOST_TEST(!Sent.empty());
