--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <sstream>
 
@@ -191,6 +192,7 @@
   State_.Connections_.expire(Now);
   State_.PeerConnections_.expire(Now);
   const std::vector<std::string> Vms = State_.Members_.liveNames(Now);
+  logSilentVms(Vms);
   if (State_.Members_.isListKnown())
     State_.ColdLimiter_.setOtherVms(State_.Members_.sharingNames(Now), Now);
   State_.RateLimiter_.setOtherVms(State_.Members_.live(Now));
@@ -210,6 +212,17 @@
   State_.Log_.flush();
 }
 
+void VmDaemon::logSilentVms(const std::vector<std::string> &LiveVms) {
+  std::vector<std::string> Silent;
+  std::set_difference(LiveVms_.begin(), LiveVms_.end(), LiveVms.begin(),
+                      LiveVms.end(), std::back_inserter(Silent));
+  for (const std::string &Name : Silent)
+    State_.log(EventLine("vm-silent")
+                   .add("name", Name)
+                   .add("live", static_cast<std::int64_t>(LiveVms.size())));
+  LiveVms_ = LiveVms;
+}
+
 // Registers this VM in the store, so that the other VMs find it.
 awaitable<void> VmDaemon::registerVm() {
   const std::unique_ptr<store::RowStore> Store = State_.Platform_.MakeStore_();
--- a/src/libs/vm/vmdaemon.h
+++ b/src/libs/vm/vmdaemon.h
@@ -36,6 +36,8 @@
   SimpleHttpResponse answerMetrics(const std::string &Path);
   void applyVmTableChanges(const std::vector<store::Row> &Rows);
   void tick();
+  /// Logs the VMs that are no longer live since the last call.
+  void logSilentVms(const std::vector<std::string> &LiveVms);
   void closeIdleSessions();
 
   boost::asio::io_context &Context_;
@@ -57,6 +59,8 @@
                          boost::intrusive::constant_time_size<false>>
       Sessions_;
   base::TimePoint LastSlowTick_{};
+  /// Live VMs at the last slow tick, sorted.
+  std::vector<std::string> LiveVms_;
 };
 
 } // namespace ebony::vm
