--- a/tests/libs/vm/vmwithoutupstreamstest.cpp
+++ b/tests/libs/vm/vmwithoutupstreamstest.cpp
@@ -71,6 +71,64 @@
   BOOST_TEST(!HasEndedWithAll);
 }
 
+asynckit::awaitable<void> cutAndAwait(DaemonFleetFixture &Fleet, int Number) {
+  Fleet.cut(Number, CutKind::Reset);
+  Fleet.startLoad(Number, 2);
+  const bool IsLost = co_await Fleet.await([&Fleet, Number] {
+    return !Fleet.Vms_[Number].State_->Reachability_.reachesUpstreams();
+  });
+  BOOST_TEST_REQUIRE(IsLost);
+}
+
+asynckit::awaitable<void> checkUpload(DaemonFleetFixture &Fleet) {
+  const bool IsUp = co_await Fleet.awaitFleet();
+  BOOST_TEST_REQUIRE(IsUp);
+  co_await cutAndAwait(Fleet, 0);
+  // Longer than what is buffered before a request is forwarded.
+  const std::string Body(900UL * 1024, 'x');
+  const TestResponse Response = co_await Fleet.call(0, "/write/large", Body);
+  BOOST_TEST(Response.result_int() == Served);
+  BOOST_TEST(Fleet.countArrivals("/write/large") == 1);
+  for (const auto &Upstream : Fleet.Upstreams_)
+    for (const FakeRequest &Request : Upstream->requests())
+      if (Request.target() == "/write/large")
+        BOOST_TEST(Request.body().size() == Body.size());
+}
+
+// Each VM takes the others for able to serve until it hears that they are not.
+asynckit::awaitable<void> checkAllCutOff(DaemonFleetFixture &Fleet) {
+  const bool IsUp = co_await Fleet.awaitFleet();
+  BOOST_TEST_REQUIRE(IsUp);
+  for (int I = 0; I < 3; ++I)
+    co_await cutAndAwait(Fleet, I);
+  const TestResponse Refused = co_await Fleet.call(0, "/read/a");
+  BOOST_TEST(Refused.result_int() == 503U);
+  Fleet.mend(1);
+  const bool IsBack = co_await Fleet.await([&Fleet] {
+    const auto *Report = Fleet.Vms_[0].State_->Members_.find("vm1");
+    return !Report->ReachesNoUpstream_;
+  });
+  BOOST_TEST(IsBack);
+  const TestResponse Relayed = co_await Fleet.call(0, "/read/a");
+  BOOST_TEST(Relayed.result_int() == Served);
+}
+
+asynckit::awaitable<void> checkStranger(DaemonFleetFixture &Fleet) {
+  const bool IsUp = co_await Fleet.awaitFleet();
+  BOOST_TEST_REQUIRE(IsUp);
+  asynckit::error_code Error;
+  boost::asio::ip::tcp::socket Socket(Fleet.Context_);
+  co_await Socket.async_connect(
+      {boost::asio::ip::make_address(Fleet.Vms_[0].Address_),
+       DaemonFleetFixture::PeerPort},
+      asynckit::into(Error));
+  BOOST_TEST(!Error);
+  char Byte = 0;
+  co_await Socket.async_read_some(boost::asio::buffer(&Byte, 1),
+                                  asynckit::into(Error));
+  BOOST_TEST(Error.failed());
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(vmwithoutupstreamstest, Fixture)
@@ -95,4 +153,14 @@
   run(checkEvidence(*this));
 }
 
+BOOST_AUTO_TEST_CASE(relayedUploadArrivesWholeAndOnce) {
+  run(checkUpload(*this));
+}
+
+BOOST_AUTO_TEST_CASE(relayedRequestIsNotRelayedAgain) {
+  run(checkAllCutOff(*this));
+}
+
+BOOST_AUTO_TEST_CASE(onlyListedVmsMayRelay) { run(checkStranger(*this)); }
+
 BOOST_AUTO_TEST_SUITE_END()
