Log a relayed refusal as refused; satisfy the linter

A 503 or 429 of the VM that took a relayed request stood as failed in the line of the VM that relayed it. Containers of known size are reserved, and two parameters of tests are passed by reference.

--- a/src/libs/vm/reachabilityprober.cpp
+++ b/src/libs/vm/reachabilityprober.cpp
@@ -41,12 +41,14 @@
 
 std::vector<traffic::UpstreamPtr> ReachabilityProber::selectUpstreams() {
   std::vector<std::pair<double, traffic::UpstreamPtr>> Shuffled;
+  Shuffled.reserve(State_.Upstreams_.all().size());
   for (const auto &[Name, Upstream] : State_.Upstreams_.all())
     Shuffled.emplace_back(Random_.unit(), Upstream);
   std::sort(Shuffled.begin(), Shuffled.end(),
             [](const auto &A, const auto &B) { return A.first < B.first; });
   std::map<base::ZoneName, std::size_t> PerZone;
   std::vector<std::pair<std::size_t, traffic::UpstreamPtr>> Ranked;
+  Ranked.reserve(Shuffled.size());
   for (auto &[Key, Upstream] : Shuffled)
     Ranked.emplace_back(PerZone[Upstream->Entry_.Zone_]++, Upstream);
   std::stable_sort(
--- a/src/libs/vm/requestexchange.cpp
+++ b/src/libs/vm/requestexchange.cpp
@@ -59,6 +59,13 @@
   return Names.at(static_cast<std::size_t>(Result));
 }
 
+/// Returns whether \p Status promises that the request did not run.
+bool isRefusal(unsigned Status) {
+  constexpr unsigned Unavailable = 503;
+  constexpr unsigned TooMany = 429;
+  return Status == Unavailable || Status == TooMany;
+}
+
 /// Returns the host of a Host header without its port.
 std::string_view hostWithoutPort(std::string_view Value) {
   return Value.substr(0, Value.rfind(':'));
@@ -482,12 +489,8 @@
 
 void RequestExchange::answer(unsigned Status, std::string Reason,
                              base::Duration RetryAfter) {
-  constexpr unsigned Unavailable = 503;
-  constexpr unsigned TooMany = 429;
   Outcome_.Status_ = Status;
-  Outcome_.Outcome_ = Status == Unavailable || Status == TooMany || Status < 500
-                          ? "refused"
-                          : "failed";
+  Outcome_.Outcome_ = isRefusal(Status) || Status < 500 ? "refused" : "failed";
   Outcome_.Reason_ = std::move(Reason);
   OwnResponse_ = LocalResponse{Status, Outcome_.Reason_, RetryAfter};
   logOutcome();
@@ -508,8 +511,12 @@
   Outcome_.WaitedForTurn_ = State_.now() - ReadySince_;
   Outcome_.Status_ = Attempt_->status();
   Outcome_.Outcome_ = Attempt_->status() < 500 ? "served" : "failed";
-  Outcome_.Reason_ =
-      Outcome_.RelayedTo_.empty() ? "upstream-answer" : "relayed-answer";
+  Outcome_.Reason_ = "upstream-answer";
+  if (!Outcome_.RelayedTo_.empty()) {
+    Outcome_.Reason_ = "relayed-answer";
+    if (isRefusal(Attempt_->status()))
+      Outcome_.Outcome_ = "refused";
+  }
   const ResponseWriter::RelayResult Result =
       co_await Writer.relay(Request_, *Attempt_, KeepsOpen);
   if (Result == ResponseWriter::RelayResult::Truncated) {
--- a/tests/libs/traffic/upstreamreachabilitytest.cpp
+++ b/tests/libs/traffic/upstreamreachabilitytest.cpp
@@ -108,7 +108,7 @@
   }
 
   void finish(base::Duration Time,
-              std::function<void(base::TimePoint)> Action) {
+              const std::function<void(base::TimePoint)> &Action) {
     Pending_.emplace(Time, [this, Action](base::TimePoint Now) {
       --InFlight_;
       Action(Now);
--- a/tests/libs/vm/daemonfleetfixture.h
+++ b/tests/libs/vm/daemonfleetfixture.h
@@ -208,7 +208,7 @@
           IsLoadOn_ = false;
           Context_.stop();
         },
-        [](std::exception_ptr Error) {
+        [](const std::exception_ptr &Error) {
           if (Error)
             std::rethrow_exception(Error);
         });
