--- a/src/libs/vm/requestexchange.cpp
+++ b/src/libs/vm/requestexchange.cpp
@@ -281,6 +281,7 @@
         asio::co_spawn(State_.Context_, std::move(Investigation),
                        asio::detached);
     }
+    // A request that was not sent counts as failed only if no VM takes it over.
     if (Result != AttemptResult::Unreachable &&
         settleAttempt(*Job, Route, Result, Started))
       co_return;
--- a/tests/libs/traffic/upstreamreachabilitytest.cpp
+++ b/tests/libs/traffic/upstreamreachabilitytest.cpp
@@ -219,7 +219,7 @@
   BOOST_TEST(!Reachability_.isProbeDue(16, at(6s)));
 }
 
-BOOST_AUTO_TEST_CASE(roundOfLittleFleetCountsAllUpstreams) {
+BOOST_AUTO_TEST_CASE(failureOfAllOfFewUpstreamsRaisesSuspicion) {
   Reachability_.recordFailure(name(1));
   BOOST_TEST(!Reachability_.isProbeDue(2, at(1s)));
   Reachability_.recordFailure(name(2));
--- a/tests/libs/vm/daemonfleetfixture.h
+++ b/tests/libs/vm/daemonfleetfixture.h
@@ -163,7 +163,8 @@
     co_return Response;
   }
 
-  /// Calls \p Number times at the same time until told to stop.
+  /// Starts \p Callers callers that call the VM again and again until the test
+  /// ends.
   void startLoad(int Number, int Callers) {
     for (int I = 0; I < Callers; ++I)
       boost::asio::co_spawn(
@@ -188,7 +189,7 @@
                        });
   }
 
-  /// Returns how often an upstream got the request with this id.
+  /// Returns how many requests for \p Target the upstreams got.
   int countArrivals(const std::string &Target) const {
     int Count = 0;
     for (const auto &Upstream : Upstreams_)
