Keep the buffer of a test's forwarder out of its coroutine's frame

With the buffer on the heap the frame is small and the warning is gone.

What the test checks has not changed.

--- a/tests/libs/vm/cuttablelink.h
+++ b/tests/libs/vm/cuttablelink.h
@@ -10,7 +10,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
-#include <array>
 #include <memory>
 #include <vector>
 
@@ -63,6 +62,8 @@
   using tcp = boost::asio::ip::tcp;
   using SocketPtr = std::shared_ptr<tcp::socket>;
 
+  static constexpr std::size_t ForwardedBytes = 16384;
+
   void open(const tcp::endpoint &Endpoint) {
     Acceptor_.open(Endpoint.protocol());
     Acceptor_.set_option(tcp::acceptor::reuse_address(true));
@@ -120,7 +121,7 @@
   }
 
   asynckit::awaitable<void> forward(SocketPtr From, SocketPtr To) {
-    std::array<char, 16384> Bytes{};
+    std::vector<char> Bytes(ForwardedBytes);
     boost::asio::steady_timer Timer(Context_);
     for (;;) {
       asynckit::error_code Error;
