Log what a VM takes a listed upstream for

FAILBACK: upstream-listed said what the entry says of being cold, not whether this VM takes the upstream for cold, and not from which run of the process the entry is.

--- a/src/libs/traffic/upstreamstate.h
+++ b/src/libs/traffic/upstreamstate.h
@@ -59,6 +59,10 @@
   int load() const { return InFlight_ + InFlightElsewhere_; }
   int freeSlots() const { return Entry_.Slots_ - load(); }
   bool isCold(base::TimePoint Now) const { return Now < ColdUntil_; }
+  /// Returns for how much longer the upstream is taken for cold.
+  base::Duration coldRemaining(base::TimePoint Now) const {
+    return isCold(Now) ? ColdUntil_ - Now : base::Duration::zero();
+  }
   bool isEjected(base::TimePoint Now) const { return Now < EjectedUntil_; }
 };
 
--- a/src/libs/vm/requestexchange.cpp
+++ b/src/libs/vm/requestexchange.cpp
@@ -330,7 +330,7 @@
       EventLine("cold-send")
           .add("id", Request_.Id_)
           .add("upstream", Upstream.Entry_.Name_.text())
-          .add("cold_ms", (Upstream.ColdUntil_ - Now).count() / 1000)
+          .add("cold_ms", Upstream.coldRemaining(Now).count() / 1000)
           .add("vms", static_cast<std::int64_t>(State_.ColdLimiter_.vmCount()))
           .add("ranked_before",
                static_cast<std::int64_t>(
--- a/src/libs/vm/statesynchronizer.cpp
+++ b/src/libs/vm/statesynchronizer.cpp
@@ -152,6 +152,8 @@
   const bool WasCold = Previous && Previous->isCold(State_.now());
   if (!State_.Upstreams_.put(*Entry, State_.now()))
     return;
+  const base::Duration ColdRemaining =
+      State_.Upstreams_.find(Entry->Name_)->coldRemaining(State_.now());
   if (Previous && WasDraining == Entry->IsDraining_ &&
       Previous->Entry_.StartedUnixMs_ == Entry->StartedUnixMs_) {
     if (!WasCold && Previous->isCold(State_.now()))
@@ -167,6 +169,8 @@
                  .add("zone", Entry->Zone_.text())
                  .add("state", Entry->IsDraining_ ? "draining" : "ready")
                  .add("cold_ms", Entry->ColdRemaining_.count() / 1000)
+                 .add("taken_cold_ms", ColdRemaining.count() / 1000)
+                 .add("started", Entry->StartedUnixMs_)
                  .add("row_version", Row.Version_));
 }
 
