Take upstreams that are listed anew for cold

Cause: an upstream that is cut off from the store loses its entry after three heartbeats, and with it went what the VMs knew of its cold time. The end of an evacuation marks as cold only what is listed at that moment. When the cut ends, an older entry arrives first, which gives no cold time; all VMs believe it and take the upstream for warm, until a newer entry arrives up to a heartbeat later.

Why it works: an entry of an upstream that was not listed says nothing reliable of whether it is cold, so it is taken for cold for the cold time of its service; a cold time that began during the cut cannot be longer. New upstreams are cold for that time anyway.

Ruled out: remembering the cold time of removed upstreams, since the second case of the test has upstreams that go cold while they are not listed.

--- a/src/libs/traffic/upstreamtable.cpp
+++ b/src/libs/traffic/upstreamtable.cpp
@@ -16,9 +16,13 @@
 
 } // namespace
 
-bool UpstreamTable::put(const UpstreamEntry &Entry, base::TimePoint Now) {
+bool UpstreamTable::put(const UpstreamEntry &Entry, base::TimePoint Now,
+                        base::Duration MinColdTime) {
   RemovedInGrace_.erase(Entry.Name_);
   UpstreamPtr &Upstream = Upstreams_[Entry.Name_];
+  const base::Duration ColdTime =
+      Upstream ? Entry.ColdRemaining_
+               : std::max(Entry.ColdRemaining_, MinColdTime);
   const bool IsNew = !Upstream || isOtherProcess(Upstream->Entry_, Entry);
   if (!IsNew && Upstream->Entry_ == Entry)
     return false;
@@ -31,9 +35,8 @@
     if (Zone != Zones_.end())
       Upstream->Region_ = Zone->second;
   }
-  if (Entry.ColdRemaining_ > base::Duration::zero())
-    Upstream->ColdUntil_ =
-        std::max(Upstream->ColdUntil_, Now + Entry.ColdRemaining_);
+  if (ColdTime > base::Duration::zero())
+    Upstream->ColdUntil_ = std::max(Upstream->ColdUntil_, Now + ColdTime);
   Upstream->Entry_ = Entry;
   rebuildGroups();
   return true;
--- a/src/libs/traffic/upstreamtable.h
+++ b/src/libs/traffic/upstreamtable.h
@@ -23,8 +23,10 @@
       : Zones_(std::move(Zones)), GracePeriod_(GracePeriod) {}
 
   /// Adds or updates an upstream. If the process has restarted under the same
-  /// name, its state is reset. Returns false if nothing changed.
-  bool put(const UpstreamEntry &Entry, base::TimePoint Now);
+  /// name, its state is reset. One that was not in the table is taken for cold
+  /// for at least \p MinColdTime. Returns false if nothing changed.
+  bool put(const UpstreamEntry &Entry, base::TimePoint Now,
+           base::Duration MinColdTime = base::Duration::zero());
 
   /// Removes an upstream: at once, or during the grace period when that ends.
   void remove(const base::UpstreamName &Name, base::TimePoint Now);
--- a/src/libs/vm/statesynchronizer.cpp
+++ b/src/libs/vm/statesynchronizer.cpp
@@ -107,6 +107,17 @@
   return Longest;
 }
 
+// An upstream that cannot reach the store loses its entry, and may go cold
+// before an older entry of it is listed again.
+base::Duration
+StateSynchronizer::minColdTime(const traffic::UpstreamEntry &Entry) const {
+  const traffic::ServiceSettings *Service =
+      State_.KnowsUpstreams_ && State_.Rules_
+          ? State_.Rules_->findService(Entry.Service_)
+          : nullptr;
+  return Service ? Service->ColdDuration_ : base::Duration::zero();
+}
+
 void StateSynchronizer::replaceUpstreams(const std::vector<store::Row> &Rows) {
   std::set<base::UpstreamName> Listed;
   for (const store::Row &Row : Rows) {
@@ -150,7 +161,7 @@
   const traffic::UpstreamPtr Previous = State_.Upstreams_.find(Entry->Name_);
   const bool WasDraining = Previous && Previous->Entry_.IsDraining_;
   const bool WasCold = Previous && Previous->isCold(State_.now());
-  if (!State_.Upstreams_.put(*Entry, State_.now()))
+  if (!State_.Upstreams_.put(*Entry, State_.now(), minColdTime(*Entry)))
     return;
   const base::Duration ColdRemaining =
       State_.Upstreams_.find(Entry->Name_)->coldRemaining(State_.now());
--- a/src/libs/vm/statesynchronizer.h
+++ b/src/libs/vm/statesynchronizer.h
@@ -25,6 +25,9 @@
   void applyUpstreamRows(const std::vector<store::Row> &Rows);
   void applyUpstream(const store::Row &Row);
   base::Duration longestColdDuration() const;
+  /// Returns for how long an upstream is at least taken for cold if it was not
+  /// listed before \p Entry.
+  base::Duration minColdTime(const traffic::UpstreamEntry &Entry) const;
 
   VmState &State_;
   TableFollower OperatorFollower_;
