Tell an address that another upstream has taken from a lack of room

What callers saw: a request to an upstream that was replaced at its address was sent there in vain, again and again, until the entry lapsed.

Cause: a 421 carries the header that says that the request did not run, and that header was looked at first. So the answer was taken for a lack of room, which ejects an upstream after ten in a row instead of the first.

--- a/src/libs/vm/upstreamattempt.cpp
+++ b/src/libs/vm/upstreamattempt.cpp
@@ -118,11 +118,11 @@
   }
   if (Parser_->is_done())
     Timer_.disarm();
-  if (!valueOf(fields(), Names_.NotRun_).empty())
-    co_return AttemptResult::Shed;
   constexpr unsigned Misdirected = 421;
   if (status() == Misdirected)
     co_return AttemptResult::Misdirected;
+  if (!valueOf(fields(), Names_.NotRun_).empty())
+    co_return AttemptResult::Shed;
   constexpr unsigned FirstServerError = 500;
   co_return status() >= FirstServerError ? AttemptResult::Failed
                                          : AttemptResult::Answered;
--- a/tests/libs/vm/fakeupstream.h
+++ b/tests/libs/vm/fakeupstream.h
@@ -26,6 +26,8 @@
   /// The connection closes before the body is complete.
   TruncatedResponse,
   Shed,
+  /// Another upstream listens at the address.
+  Misdirected,
   /// The process ends: it closes all connections and no longer listens.
   Crash,
   /// The following send without end until the connection is closed.
@@ -170,6 +172,9 @@
     case FakeBehaviour::Shed:
       return "HTTP/1.1 503 Busy\r\nId: " + Id +
              "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    case FakeBehaviour::Misdirected:
+      return "HTTP/1.1 421 Misdirected\r\nId: " + Id +
+             "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
     default:
       return Whole + "whole answer";
     }
--- a/tests/libs/vm/requestpathtest.cpp
+++ b/tests/libs/vm/requestpathtest.cpp
@@ -95,6 +95,21 @@
   BOOST_TEST(!std::string(Responses.front()["Retry-After"]).empty());
 }
 
+// Requests went again to an upstream whose address another one has taken: its
+// refusal was taken for a lack of room.
+BOOST_AUTO_TEST_CASE(leavesUpstreamWhoseAddressAnotherOneHas) {
+  for (FakeUpstream RequestPathFixture::*Gone :
+       {&RequestPathFixture::FirstUpstream_,
+        &RequestPathFixture::SecondUpstream_}) {
+    RequestPathFixture Path;
+    (Path.*Gone).setBehaviour(FakeBehaviour::Misdirected);
+    const std::vector<std::string> Targets(6, "/write/a");
+    for (const Response &Answer : Path.sendRequests(Targets))
+      BOOST_TEST(Answer.result_int() == 200U);
+    BOOST_TEST((Path.*Gone).requests().size() <= 1U);
+  }
+}
+
 // An upstream in trouble sends bytes that are no answer, without end. The
 // attempt fails after a bounded number of them, and its connection is closed;
 // another upstream serves what may be repeated.
