Keep room, ports and cuts of a test's fleet under its own control

Traced in its log: the two others refused for overload, because 22 callers and the requests that hang, which VMs report as under way, need more than the 24 slots of the upstreams. The upstreams have room for them now; still all 20 calls have to be served.

The checks are the same.

--- a/tests/libs/vm/cuttablelink.h
+++ b/tests/libs/vm/cuttablelink.h
@@ -31,7 +31,8 @@
 public:
   CuttableLink(boost::asio::io_context &Context, std::uint16_t UpstreamPort)
       : Context_(Context), UpstreamPort_(UpstreamPort), Acceptor_(Context) {
-    open({boost::asio::ip::address_v4::loopback(), 0});
+    bind(0);
+    listen();
   }
 
   std::uint16_t port() const { return Port_; }
@@ -39,23 +40,23 @@
   void cut(CutKind Kind) {
     Kind_ = Kind;
     IsCut_ = true;
-    asynckit::error_code Ignored; // Closing is best effort.
     if (Kind == CutKind::Hang) {
       refillBacklog();
       return;
     }
-    Acceptor_.close(Ignored);
+    // Bound without listening, the port refuses connections and is not given
+    // to another process.
+    bind(Port_);
     if (Kind == CutKind::Reset)
       resetAll();
   }
 
   void mend() {
-    asynckit::error_code Ignored; // Closing is best effort.
-    Acceptor_.close(Ignored);
     Fillers_.clear();
     resetAll();
     IsCut_ = false;
-    open({boost::asio::ip::address_v4::loopback(), Port_});
+    bind(Port_);
+    listen();
   }
 
 private:
@@ -64,12 +65,17 @@
 
   static constexpr std::size_t ForwardedBytes = 16384;
 
-  void open(const tcp::endpoint &Endpoint) {
-    Acceptor_.open(Endpoint.protocol());
+  void bind(std::uint16_t Port) {
+    asynckit::error_code Ignored; // Closing is best effort.
+    Acceptor_.close(Ignored);
+    Acceptor_.open(tcp::v4());
     Acceptor_.set_option(tcp::acceptor::reuse_address(true));
-    Acceptor_.bind(Endpoint);
-    Acceptor_.listen();
+    Acceptor_.bind({boost::asio::ip::address_v4::loopback(), Port});
     Port_ = Acceptor_.local_endpoint().port();
+  }
+
+  void listen() {
+    Acceptor_.listen();
     boost::asio::co_spawn(Context_, accept(), boost::asio::detached);
   }
 
@@ -107,8 +113,10 @@
       co_await Far->async_connect(
           {boost::asio::ip::address_v4::loopback(), UpstreamPort_},
           asynckit::into(Error));
-      if (Error) {
+      // The link may have been cut meanwhile.
+      if (Error || (IsCut_ && Kind_ == CutKind::Reset)) {
         Near->close(Error);
+        Far->close(Error);
         continue;
       }
       Sockets_.push_back(Near);
--- a/tests/libs/vm/daemonfleetfixture.h
+++ b/tests/libs/vm/daemonfleetfixture.h
@@ -14,6 +14,9 @@
 /// reaches the same upstreams over links of its own.
 struct DaemonFleetFixture {
   static constexpr int UpstreamCount = 6;
+  // Room for all callers beside the requests that hang, which VMs report as
+  // under way: a refusal for lack of slots says nothing about a link.
+  static constexpr int SlotsPerUpstream = 16;
   static constexpr std::uint16_t CallerPort = 18080;
   static constexpr std::uint16_t PeerPort = 18085;
 
@@ -72,6 +75,7 @@
     Binding.DecodeUpstream_ = [Decode, Ports](const store::Row &Row) {
       auto Entry = Decode(Row);
       Entry->Port_ = Ports.at(static_cast<std::size_t>(std::stoi(Row.Value_)));
+      Entry->Slots_ = SlotsPerUpstream;
       return Entry;
     };
     VmSettings Settings;
