Log how old a VM's news of upstreams and evacuations is

A VM that writes nothing about an evacuation may be cut off from the store and from the other VMs, or hear them and not be told. Neither request lines nor metrics showed which. Each request line now has store_news_ms, the time since the older of both tables was last confirmed by the store or by a VM that reads it, and evacuated-zones has the position in the store's history. The gauge ebony_store_news_age_milliseconds has the same age.

No decision changes.

--- a/src/libs/vm/requestexchange.cpp
+++ b/src/libs/vm/requestexchange.cpp
@@ -553,6 +553,7 @@
       .add("took_ms", Elapsed.count() / 1000)
       .add("configuration", State_.Rules_ ? State_.Rules_->version() : 0)
       .add("configuration_age_ms", State_.KeyTrust_.age(Now).count() / 1000)
+      .add("store_news_ms", State_.StoreNews_.age(Now).count() / 1000)
       .add("quota_plan", State_.Quota_.plan().Version_);
   if (!Outcome_.RelayedTo_.empty())
     Line.add("relayed_to", Outcome_.RelayedTo_);
--- a/src/libs/vm/statesynchronizer.cpp
+++ b/src/libs/vm/statesynchronizer.cpp
@@ -22,7 +22,10 @@
            [this](base::TimePoint ReadStarted) {
              State_.KeyTrust_.confirm(ReadStarted);
            },
-           nullptr}),
+           nullptr, nullptr, false,
+           [this](base::TimePoint Now) {
+             State_.StoreNews_.recordEvacuations(Now);
+           }}),
       UpstreamFollower_(State, State.Platform_.UpstreamTable_, UpstreamPace,
                         {[this](const auto &Rows) { replaceUpstreams(Rows); },
                          [this](const auto &Rows) { applyUpstreamRows(Rows); },
@@ -30,7 +33,10 @@
                          [this](base::TimePoint Since) {
                            State_.Upstreams_.recordStoreReturn(Since);
                          },
-                         nullptr, true}) {}
+                         nullptr, true,
+                         [this](base::TimePoint Now) {
+                           State_.StoreNews_.recordUpstreams(Now);
+                         }}) {}
 
 void StateSynchronizer::start() {
   using boost::asio::co_spawn;
@@ -91,7 +97,8 @@
   std::string Zones;
   for (const base::ZoneName &Zone : EvacuatedZones_)
     Zones += (Zones.empty() ? "" : ",") + Zone.text();
-  State_.log(Line.add("zones", Zones));
+  State_.log(
+      Line.add("zones", Zones).add("position", OperatorFollower_.position()));
 }
 
 base::Duration StateSynchronizer::longestColdDuration() const {
--- a/src/libs/vm/tablefollower.cpp
+++ b/src/libs/vm/tablefollower.cpp
@@ -102,6 +102,7 @@
   if (IsFirst) {
     Followed_.applySnapshot(Result.Rows_, ReadStarted);
     replace(std::move(Result.Rows_));
+    reportHeard();
     co_return StoreStatus::Done;
   }
   const auto NewRows = Followed_.applyChanges(
@@ -109,6 +110,8 @@
       Result.Rows_.HasMore_ ? std::nullopt : std::optional(ReadStarted));
   if (NewRows)
     applyChanges(*NewRows);
+  if (!Result.Rows_.HasMore_)
+    reportHeard();
   if (State_.readsForRegion())
     publish(After, Result.Rows_);
   co_return StoreStatus::Done;
@@ -184,9 +187,11 @@
     endPause();
     return;
   }
-  if (News.IsComplete_)
-    LastHeard_ = Now;
   applyChanges(*NewRows);
+  if (!News.IsComplete_)
+    return;
+  LastHeard_ = Now;
+  reportHeard();
 }
 
 void TableFollower::applyChanges(const std::vector<store::Row> &Rows) {
@@ -201,6 +206,11 @@
     Listener_.OnConfirmed_(Now - Followed_.age(Now));
 }
 
+void TableFollower::reportHeard() {
+  if (Listener_.OnHeard_)
+    Listener_.OnHeard_(State_.now());
+}
+
 void TableFollower::reportStoreReturn(base::TimePoint Since) {
   StoreReturned_ = Since;
   if (Listener_.OnStoreReturn_)
--- a/src/libs/vm/tablefollower.h
+++ b/src/libs/vm/tablefollower.h
@@ -31,6 +31,9 @@
   /// Whether each row is written again and again by what it describes, so that
   /// a row that is not written again after a restore describes nothing.
   bool AreRowsRenewed_ = false;
+  /// Called when complete news of the table has arrived, from the store or from
+  /// another VM.
+  std::function<void(base::TimePoint)> OnHeard_ = nullptr;
 };
 
 /// Follows one table of the store by its changes, and reads the whole table
@@ -50,6 +53,10 @@
   /// Ends the current pause, so that the next read starts at once.
   void endPause() { PauseTimer_.cancel(); }
 
+  /// Returns the position in the store's history up to which the table is
+  /// known; -1 if it is not.
+  std::int64_t position() const { return Followed_.version(); }
+
 private:
   asynckit::awaitable<store::StoreStatus> readOnce(bool MayLongPoll);
   /// Waits until this VM has to read the store. Returns true if the read may be
@@ -59,6 +66,7 @@
   void applyNews(const peers::TableNews &News);
   void applyChanges(const std::vector<store::Row> &Rows);
   void confirm();
+  void reportHeard();
   void reportStoreReturn(base::TimePoint Since);
   /// Handles the first snapshot after the store came back from an older copy.
   void beginRestore(std::int64_t Position);
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -204,6 +204,8 @@
   State_.Metrics_.LiveVms_.set(static_cast<std::int64_t>(Vms.size()));
   State_.Metrics_.ConfigurationAgeMs_.set(State_.KeyTrust_.age(Now).count() /
                                           1000);
+  State_.Metrics_.StoreNewsAgeMs_.set(State_.StoreNews_.age(Now).count() /
+                                      1000);
   State_.Metrics_.WaitingRequests_.set(
       static_cast<std::int64_t>(State_.Dispatcher_.waitingCount()));
   State_.Metrics_.LimitedUpstreams_.set(State_.Upstreams_.limitedCount());
--- a/src/libs/vm/vmmetrics.cpp
+++ b/src/libs/vm/vmmetrics.cpp
@@ -26,6 +26,10 @@
           "ebony_configuration_age_milliseconds",
           "Age of the last proof that the configuration is the newest.", "",
           Gauge)),
+      StoreNewsAgeMs_(Registry_.counter(
+          "ebony_store_news_age_milliseconds",
+          "Time since this VM had news of upstreams and evacuated zones.", "",
+          Gauge)),
       LiveVms_(Registry_.counter("ebony_live_vms",
                                  "Entry VMs heard of, this one included.", "",
                                  Gauge)),
--- a/src/libs/vm/vmmetrics.h
+++ b/src/libs/vm/vmmetrics.h
@@ -28,6 +28,7 @@
   telemetry::Counter &StoreFailures_;
   telemetry::Counter &ConfigurationVersion_;
   telemetry::Counter &ConfigurationAgeMs_;
+  telemetry::Counter &StoreNewsAgeMs_;
   telemetry::Counter &LiveVms_;
   telemetry::Counter &Upstreams_;
   telemetry::Counter &LimitedUpstreams_;
--- a/src/libs/vm/vmstate.h
+++ b/src/libs/vm/vmstate.h
@@ -12,6 +12,7 @@
 #include "traffic/membertable.h"
 #include "traffic/relaypeerselector.h"
 #include "traffic/retrybudget.h"
+#include "traffic/storenews.h"
 #include "traffic/trafficsplitter.h"
 #include "traffic/upstreamreachability.h"
 #include "vm/fleetbounds.h"
@@ -76,6 +77,8 @@
   traffic::KeyFreshness KeyTrust_;
   /// Whether the quota plan is confirmed to be the newest.
   traffic::KeyFreshness PlanTrust_;
+  /// Age of the VM's knowledge of upstreams and evacuated zones.
+  traffic::StoreNews StoreNews_;
   traffic::UpstreamTable Upstreams_;
   traffic::MemberTable Members_;
   traffic::ColdUpstreamLimiter ColdLimiter_;
