Move what a VM decides by the other VMs' reports out of its sockets

PeerMessenger and VmDaemon::tick() held the steps that apply a report and that update what the VM decides by the fleet. They are now VmState::recordReport() and updateFleetView(), so that a test in virtual time runs the same code.

--- a/src/libs/vm/peermessenger.cpp
+++ b/src/libs/vm/peermessenger.cpp
@@ -208,7 +208,7 @@
                                    const udp::endpoint &From) {
   const peers::Datagram Message = peers::decode(Bytes);
   if (const auto *Report = std::get_if<traffic::MemberReport>(&Message)) {
-    recordReport(*Report);
+    State_.recordReport(*Report);
     return;
   }
   if (const auto *Ask = std::get_if<peers::TokenAsk>(&Message)) {
@@ -227,17 +227,4 @@
                    .add("bytes", static_cast<std::int64_t>(Bytes.size())));
 }
 
-void PeerMessenger::recordReport(const traffic::MemberReport &Report) {
-  for (const traffic::UpstreamPtr &Upstream :
-       State_.Upstreams_.applyReportedLimits(Report.Limits_, State_.now()))
-    State_.logNamedLimit(*Upstream, "by", Report.Name_);
-  State_.Crashes_.applyReport(Report.Crashes_, State_.now());
-  State_.logBlamedRequests("by", Report.Name_);
-  if (State_.Members_.recordReport(Report, State_.now()))
-    State_.log(EventLine("vm-seen")
-                   .add("name", Report.Name_)
-                   .add("zone", Report.Zone_.text())
-                   .add("incarnation", Report.Incarnation_));
-}
-
 } // namespace ebony::vm
--- a/src/libs/vm/peermessenger.h
+++ b/src/libs/vm/peermessenger.h
@@ -56,7 +56,6 @@
   void applyRow(const store::Row &Row);
   void handleDatagram(const std::string &Bytes,
                       const boost::asio::ip::udp::endpoint &From);
-  void recordReport(const traffic::MemberReport &Report);
   /// Forwards table news to the other VMs of this region.
   void sendNews(const peers::TableNews &News);
   void send(const std::string &Bytes, const boost::asio::ip::udp::endpoint &To);
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -193,13 +193,8 @@
   State_.PeerConnections_.expire(Now);
   const std::vector<std::string> Vms = State_.Members_.liveNames(Now);
   logSilentVms(Vms);
-  if (State_.Members_.isListKnown())
-    State_.ColdLimiter_.setOtherVms(State_.Members_.sharingNames(Now), Now);
-  State_.RateLimiter_.setOtherVms(State_.Members_.live(Now));
-  State_.Budget_.setVmCount(Vms.size(), Now);
+  State_.updateFleetView();
   State_.Quota_.activatePlan(State_.Members_, Now);
-  State_.Upstreams_.setInFlightElsewhere(
-      State_.Members_.inFlightElsewhere(Now));
   State_.Dispatcher_.balanceRegions(Now);
   State_.Metrics_.LiveVms_.set(static_cast<std::int64_t>(Vms.size()));
   State_.Metrics_.ConfigurationAgeMs_.set(State_.KeyTrust_.age(Now).count() /
--- a/src/libs/vm/vmstate.cpp
+++ b/src/libs/vm/vmstate.cpp
@@ -120,6 +120,29 @@
   Metrics_.BlamedRequests_.set(static_cast<std::int64_t>(Blamed.size()));
 }
 
+void VmState::recordReport(const traffic::MemberReport &Report) {
+  for (const traffic::UpstreamPtr &Upstream :
+       Upstreams_.applyReportedLimits(Report.Limits_, now()))
+    logNamedLimit(*Upstream, "by", Report.Name_);
+  Crashes_.applyReport(Report.Crashes_, now());
+  logBlamedRequests("by", Report.Name_);
+  if (Members_.recordReport(Report, now()))
+    log(telemetry::EventLine("vm-seen")
+            .add("name", Report.Name_)
+            .add("zone", Report.Zone_.text())
+            .add("incarnation", Report.Incarnation_));
+}
+
+void VmState::updateFleetView() {
+  const base::TimePoint Now = now();
+  const std::vector<const traffic::MemberReport *> Live = Members_.live(Now);
+  if (Members_.isListKnown())
+    ColdLimiter_.setOtherVms(Members_.sharingNames(Now), Now);
+  RateLimiter_.setOtherVms(Live);
+  Budget_.setVmCount(Live.size() + 1, Now);
+  Upstreams_.setInFlightElsewhere(Members_.inFlightElsewhere(Now));
+}
+
 traffic::MemberReport VmState::ownIdentity() const {
   constexpr double Permille = 1000;
   traffic::MemberReport Report;
--- a/src/libs/vm/vmstate.h
+++ b/src/libs/vm/vmstate.h
@@ -48,6 +48,12 @@
   /// what showed it.
   void logBlamedRequests(std::string_view SourceKey, const std::string &Source);
 
+  /// Applies a report of another VM.
+  void recordReport(const traffic::MemberReport &Report);
+
+  /// Updates what this VM decides by the other VMs that it knows of.
+  void updateFleetView();
+
   /// Returns the fields of the report that identify this VM and its condition.
   traffic::MemberReport ownIdentity() const;
 
