Keep the limit of cold upstreams on VMs without any news

Cause: a VM took silence for good news. One that was cut off did not see the evacuation and sent to the cold upstreams at the usual rate, until its keys were no longer trusted, 4.5 s after the cut. The class of fault: the absence of news is taken for its content.

The fix: a VM that has heard at most half of the fleet, itself included, for longer than reports take, and whose news of the store is over 1.1 s old, treats every upstream as one that may be cold. It refuses the rest at once, since the caller may reach another VM. While it hears few VMs it reads the store itself, twice a second, so that a VM that only lost sight of the others is not held back. An outage of the store for all VMs changes nothing, because they hear each other.

--- a/src/libs/traffic/coldupstreamlimiter.cpp
+++ b/src/libs/traffic/coldupstreamlimiter.cpp
@@ -27,10 +27,10 @@
     StartsAt_ = Now + MinSendInterval;
 }
 
-bool ColdUpstreamLimiter::allows(const UpstreamState &Upstream,
-                                 double LimitPerSecond,
-                                 base::TimePoint Now) const {
-  if (!Upstream.isCold(Now) || LimitPerSecond <= 0)
+bool ColdUpstreamLimiter::allowsIfCold(const UpstreamState &Upstream,
+                                       double LimitPerSecond,
+                                       base::TimePoint Now) const {
+  if (LimitPerSecond <= 0)
     return true;
   if (!StartsAt_ || Now < *StartsAt_)
     return false;
--- a/src/libs/traffic/coldupstreamlimiter.h
+++ b/src/libs/traffic/coldupstreamlimiter.h
@@ -34,9 +34,15 @@
   /// Returns whether this VM may send to \p Upstream now. \p LimitPerSecond
   /// is the limit for all VMs together.
   bool allows(const UpstreamState &Upstream, double LimitPerSecond,
-              base::TimePoint Now) const;
+              base::TimePoint Now) const {
+    return !Upstream.isCold(Now) || allowsIfCold(Upstream, LimitPerSecond, Now);
+  }
+
+  /// The same for an upstream that may be cold without this VM's knowledge.
+  bool allowsIfCold(const UpstreamState &Upstream, double LimitPerSecond,
+                    base::TimePoint Now) const;
 
-  /// Records that this VM sends a request to \p Upstream, which is cold.
+  /// Records that this VM sends a request to \p Upstream.
   void recordSend(const UpstreamState &Upstream, base::TimePoint Now) {
     LastSends_[Upstream.NameHash_] = Now;
   }
--- a/src/libs/traffic/dispatcher.cpp
+++ b/src/libs/traffic/dispatcher.cpp
@@ -124,8 +124,7 @@
   UpstreamState &Upstream = *Chosen.Upstream_;
   ++Upstream.InFlight_;
   RateLimiter_.recordSend(Upstream, Now);
-  if (Upstream.isCold(Now))
-    ColdLimiter_.recordSend(Upstream, Now);
+  ColdLimiter_.recordSend(Upstream, Now);
   Request.Tried_.push_back(Upstream.Entry_.Name_);
 }
 
@@ -180,8 +179,8 @@
     const UpstreamState &Upstream = *Request.Order_[Rank];
     if (!Upstream.IsListed_ || Upstream.Entry_.IsDraining_ ||
         Upstream.isEjected(Now) || Upstream.isCold(Now) ||
-        Upstream.freeSlots() <= 0 || !mayBeSentNow(Upstream, Now) ||
-        Request.wasTried(Upstream.Entry_.Name_))
+        isBlockedByColdLimit(Upstream, Now) || Upstream.freeSlots() <= 0 ||
+        !mayBeSentNow(Upstream, Now) || Request.wasTried(Upstream.Entry_.Name_))
       continue;
     if (predict(Request, Rank, 0, Now).PredictedLatency_ <= TimeBudget)
       return true;
@@ -209,6 +208,9 @@
   }
   if (!Best)
     Best = findBest(Request, Price, Now, true);
+  // Another VM, which the caller may reach at once, may be in touch.
+  if (!Best && IsIsolated_)
+    return refuse(Request, base::Duration::zero(), "isolated", Now);
   if (!Best)
     return refuse(Request, TimeLeft, findUnplaceableReason(Request, Now), Now);
   if (const char *Reason = findRefusalReason(Request, *Best, Now))
@@ -335,7 +337,7 @@
 
 bool Dispatcher::isBlockedByColdLimit(const UpstreamState &Upstream,
                                       base::TimePoint Now) const {
-  if (!Upstream.isCold(Now) || !Rules_)
+  if (!Rules_ || !(IsIsolated_ || Upstream.isCold(Now)))
     return false;
   const ServiceSettings *Service =
       Rules_->findService(Upstream.Entry_.Service_);
@@ -344,7 +346,7 @@
   const double FleetLimit =
       Service->ColdRatePerSecond_ * Settings_.ColdOverrun_ +
       Settings_.ColdSlack_;
-  return !ColdLimiter_.allows(Upstream, FleetLimit, Now);
+  return !ColdLimiter_.allowsIfCold(Upstream, FleetLimit, Now);
 }
 
 // Returns the number of requests that are queued before this one and prefer
--- a/src/libs/traffic/dispatcher.h
+++ b/src/libs/traffic/dispatcher.h
@@ -62,6 +62,10 @@
   /// Sets the configuration, which has the rate limits of cold upstreams.
   void setRules(TrafficRulesPtr Rules) { Rules_ = std::move(Rules); }
 
+  /// Sets whether this VM is cut off from all news of upstreams, so that any of
+  /// them may be cold.
+  void setIsolated(bool IsIsolated) { IsIsolated_ = IsIsolated; }
+
   /// Returns the refusal if a new request would be refused now, else
   /// std::nullopt. Called before the request is charged to its customer's
   /// quota.
@@ -155,6 +159,7 @@
   base::RandomEngine Random_;
   std::map<base::ServiceName, ReturnAdvice> ReturnAdvice_;
   TrafficRulesPtr Rules_;
+  bool IsIsolated_ = false;
   UpstreamHealth Health_;
   std::map<std::pair<std::string, base::ServiceName>, WorkTimes> WorkTimes_;
   std::map<base::ServiceName, CacheEstimator> Caches_;
--- a/src/libs/traffic/membertable.cpp
+++ b/src/libs/traffic/membertable.cpp
@@ -65,6 +65,13 @@
   return Result;
 }
 
+std::size_t MemberTable::countHeardSince(base::TimePoint Since) const {
+  return static_cast<std::size_t>(std::count_if(
+      Members_.begin(), Members_.end(), [Since](const auto &Entry) {
+        return Entry.second.LastReportAt_ >= Since;
+      }));
+}
+
 const MemberReport *MemberTable::find(const std::string &Name) const {
   const auto Entry = Members_.find(Name);
   return Entry == Members_.end() ? nullptr : &Entry->second.Report_;
--- a/src/libs/traffic/membertable.h
+++ b/src/libs/traffic/membertable.h
@@ -40,6 +40,9 @@
   /// listed and not heard of yet: they may be running and cut off.
   std::vector<std::string> sharingNames(base::TimePoint Now) const;
 
+  /// Returns how many VMs reported at \p Since or later.
+  std::size_t countHeardSince(base::TimePoint Since) const;
+
   /// Returns the last report of a VM, regardless of its age.
   const MemberReport *find(const std::string &Name) const;
   bool isLive(const std::string &Name, base::TimePoint Now) const;
--- a/src/libs/vm/followpaces.h
+++ b/src/libs/vm/followpaces.h
@@ -22,6 +22,14 @@
   /// region's reader may be cut off.
   base::Duration MaxNewsGap_{};
 
+  /// Returns the pace for a VM that hears few others: it must not wait for
+  /// their news, and must soon know whether it reaches the store.
+  FollowPace withoutOthers() const {
+    constexpr base::Duration MaxGap = std::chrono::milliseconds(500);
+    return {std::min(LongPollWait_, MaxGap), std::min(MinInterval_, MaxGap),
+            MaxRelayedAge_, std::min(MaxNewsGap_, MaxGap)};
+  }
+
   /// Returns the time until this VM has to read the store, if its copy is
   /// \p Age old and the last news arrived \p NewsGap ago.
   base::Duration timeUntilPoll(base::Duration Age,
--- a/src/libs/vm/peermessenger.cpp
+++ b/src/libs/vm/peermessenger.cpp
@@ -1,6 +1,7 @@
 #include "vm/peermessenger.h"
 
 #include "peers/datagramcodec.h"
+#include "traffic/reportpace.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,16 +18,6 @@
 using asynckit::into;
 using telemetry::EventLine;
 
-// Time between reports in a small fleet. It grows with the fleet, so that the
-// number of reports that a VM handles in a second stays bounded.
-constexpr base::Duration MinReportInterval = std::chrono::milliseconds(300);
-constexpr int MaxReportsPerSecond = 60;
-
-// Minimum for VMs of other regions, which send most of their requests to other
-// upstreams than this VM.
-constexpr base::Duration MinRemoteReportInterval =
-    std::chrono::milliseconds(600);
-
 // Minimum time between reports that are sent because something has changed.
 constexpr base::Duration MinDueReportInterval = std::chrono::milliseconds(100);
 
@@ -142,24 +133,16 @@
           return IsSameRegion(Peer.first);
         }));
     if (State_.now() - LastSentToAll_ >=
-        reportInterval(Peers_.size() - SameRegionCount,
-                       MinRemoteReportInterval))
+        traffic::reportIntervalToOtherRegions(Peers_.size() - SameRegionCount))
       sendReports();
     else
       sendReports(IsSameRegion);
-    Timer_.expires_after(reportInterval(SameRegionCount, MinReportInterval));
+    Timer_.expires_after(traffic::reportIntervalInRegion(SameRegionCount));
     error_code Ignored; // The timer is never cancelled.
     co_await Timer_.async_wait(into(Ignored));
   }
 }
 
-base::Duration PeerMessenger::reportInterval(std::size_t Count,
-                                             base::Duration MinInterval) {
-  return std::max<base::Duration>(
-      MinInterval,
-      std::chrono::microseconds(1'000'000 * Count / MaxReportsPerSecond));
-}
-
 void PeerMessenger::sendNews(const peers::TableNews &News) {
   for (peers::TableNews &Fragment : peers::splitTableNews(
            News, MaxNewsRowBytes, MaxDatagramBytes - MaxNewsRowBytes)) {
--- a/src/libs/vm/peermessenger.h
+++ b/src/libs/vm/peermessenger.h
@@ -59,9 +59,6 @@
   /// Forwards table news to the other VMs of this region.
   void sendNews(const peers::TableNews &News);
   void send(const std::string &Bytes, const boost::asio::ip::udp::endpoint &To);
-  /// Returns the time between two reports to \p Count VMs.
-  static base::Duration reportInterval(std::size_t Count,
-                                       base::Duration MinInterval);
 
   VmState &State_;
   boost::asio::ip::udp::socket Socket_;
--- a/src/libs/vm/tablefollower.cpp
+++ b/src/libs/vm/tablefollower.cpp
@@ -52,8 +52,9 @@
     recordStatus(Status);
     if (Status == StoreStatus::Done) {
       const base::Duration Spent = State_.now() - ReadStarted;
-      if (Spent < Pace_.MinInterval_)
-        co_await pause(Pace_.MinInterval_ - Spent);
+      const base::Duration MinInterval = pace().MinInterval_;
+      if (Spent < MinInterval)
+        co_await pause(MinInterval - Spent);
       continue;
     }
     if (Status == StoreStatus::HistoryGone) {
@@ -69,7 +70,7 @@
          (!IsRereadDue_ || isRestoring())) {
     const base::TimePoint Now = State_.now();
     const base::Duration Remaining =
-        Pace_.timeUntilPoll(Followed_.age(Now), Now - LastHeard_);
+        pace().timeUntilPoll(Followed_.age(Now), Now - LastHeard_);
     if (Remaining <= base::Duration::zero())
       co_return false;
     co_await pause(std::min(Remaining, ReaderCheckInterval));
@@ -91,7 +92,7 @@
     // its return is handled only then.
     Result = co_await Store_->readChanges(Table_, After,
                                           MayLongPoll && !IsStoreUnreachable_
-                                              ? Pace_.LongPollWait_
+                                              ? pace().LongPollWait_
                                               : base::Duration::zero());
   if (Result.Status_ != StoreStatus::Done)
     co_return Result.Status_;
--- a/src/libs/vm/tablefollower.h
+++ b/src/libs/vm/tablefollower.h
@@ -59,6 +59,10 @@
 
 private:
   asynckit::awaitable<store::StoreStatus> readOnce(bool MayLongPoll);
+  /// Returns the pace that the VMs that are heard allow.
+  FollowPace pace() const {
+    return State_.Isolation_.hearsFewVms() ? Pace_.withoutOthers() : Pace_;
+  }
   /// Waits until this VM has to read the store. Returns true if the read may be
   /// a long poll.
   asynckit::awaitable<bool> awaitPollTime();
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -24,6 +24,9 @@
 // Resolution of timeouts and of decisions about waiting requests.
 constexpr base::Duration TickInterval = std::chrono::milliseconds(25);
 
+// Interval at which the VM checks whether it is isolated.
+constexpr base::Duration IsolationInterval = std::chrono::milliseconds(100);
+
 // Interval of tasks that need no precision: expiry of upstreams and of idle
 // connections, metrics.
 constexpr base::Duration SlowTickInterval = std::chrono::milliseconds(250);
@@ -183,6 +186,10 @@
   AsyncDispatcher_.poll();
   Prober_.tick();
   Messenger_.sendDueReports();
+  if (Now - LastIsolationUpdate_ >= IsolationInterval) {
+    LastIsolationUpdate_ = Now;
+    State_.updateIsolation();
+  }
   if (Now - LastSlowTick_ < SlowTickInterval)
     return;
   LastSlowTick_ = Now;
--- a/src/libs/vm/vmdaemon.h
+++ b/src/libs/vm/vmdaemon.h
@@ -58,6 +58,7 @@
   boost::intrusive::list<CallerSession,
                          boost::intrusive::constant_time_size<false>>
       Sessions_;
+  base::TimePoint LastIsolationUpdate_{};
   base::TimePoint LastSlowTick_{};
   /// Live VMs at the last slow tick, sorted.
   std::vector<std::string> LiveVms_;
--- a/src/libs/vm/vmmetrics.cpp
+++ b/src/libs/vm/vmmetrics.cpp
@@ -47,6 +47,11 @@
                                        "Upstreams taken for cold.", "", Gauge)),
       SendsToCold_(Registry_.counter("ebony_sends_to_cold_upstreams_total",
                                      "Requests sent to cold upstreams.")),
+      IsIsolated_(Registry_.counter(
+          "ebony_isolated",
+          "1 while this VM has no news of upstreams, from the store or from "
+          "other VMs.",
+          "", Gauge)),
       ReachesUpstreams_(Registry_.counter(
           "ebony_reaches_upstreams",
           "1 if this VM reaches upstreams, 0 if it reaches none.", "", Gauge)),
--- a/src/libs/vm/vmmetrics.h
+++ b/src/libs/vm/vmmetrics.h
@@ -35,6 +35,7 @@
   telemetry::Counter &SendsToLimited_;
   telemetry::Counter &ColdUpstreams_;
   telemetry::Counter &SendsToCold_;
+  telemetry::Counter &IsIsolated_;
   telemetry::Counter &ReachesUpstreams_;
   telemetry::Counter &FailedConnections_;
   telemetry::Counter &Relayed_;
--- a/src/libs/vm/vmstate.cpp
+++ b/src/libs/vm/vmstate.cpp
@@ -133,6 +133,20 @@
             .add("incarnation", Report.Incarnation_));
 }
 
+void VmState::updateIsolation() {
+  const base::Duration NewsAge = StoreNews_.age(now());
+  if (!Isolation_.update(Members_, NewsAge, now()))
+    return;
+  const bool IsIsolated = Isolation_.isIsolated();
+  Dispatcher_.setIsolated(IsIsolated);
+  Metrics_.IsIsolated_.set(IsIsolated ? 1 : 0);
+  log(telemetry::EventLine(IsIsolated ? "isolated" : "isolation-ended")
+          .add("heard_vms", static_cast<std::int64_t>(Isolation_.heardCount()))
+          .add("expected_vms",
+               static_cast<std::int64_t>(Isolation_.expectedCount()))
+          .add("store_news_ms", NewsAge.count() / 1000));
+}
+
 void VmState::updateFleetView() {
   const base::TimePoint Now = now();
   const std::vector<const traffic::MemberReport *> Live = Members_.live(Now);
--- a/src/libs/vm/vmstate.h
+++ b/src/libs/vm/vmstate.h
@@ -8,6 +8,7 @@
 #include "traffic/customerratelimiter.h"
 #include "traffic/dispatcher.h"
 #include "traffic/entrydirectory.h"
+#include "traffic/isolationdetector.h"
 #include "traffic/keyfreshness.h"
 #include "traffic/membertable.h"
 #include "traffic/relaypeerselector.h"
@@ -51,6 +52,9 @@
   /// Applies a report of another VM.
   void recordReport(const traffic::MemberReport &Report);
 
+  /// Decides again whether this VM is cut off from all news of upstreams.
+  void updateIsolation();
+
   /// Updates what this VM decides by the other VMs that it knows of.
   void updateFleetView();
 
@@ -87,6 +91,7 @@
   traffic::StoreNews StoreNews_;
   traffic::UpstreamTable Upstreams_;
   traffic::MemberTable Members_;
+  traffic::IsolationDetector Isolation_;
   traffic::ColdUpstreamLimiter ColdLimiter_;
   traffic::UpstreamRateLimiter RateLimiter_;
   traffic::Dispatcher Dispatcher_;
--- a/tests/libs/vm/virtualfleet.h
+++ b/tests/libs/vm/virtualfleet.h
@@ -237,8 +237,10 @@
       sendReports();
       if (Clock_.now() >= NextTick_) {
         NextTick_ = Clock_.now() + TickInterval;
-        for (const Vm &One : Vms_)
+        for (const Vm &One : Vms_) {
           One.State_->updateFleetView();
+          One.State_->updateIsolation();
+        }
       }
       finishAttempts();
       const int Requests =
