Tell VMs without the store of evacuations and cold upstreams

Cause: news of the store's tables goes to the VMs of the reader's own region. A region in which no VM reaches the store hears the reports of all other VMs, which said nothing of evacuations and of upstreams that are cold. The class of fault is that of the isolated VMs: the absence of news taken for its content.

The fix: reports carry the evacuated zones with the position in the store's history as of which they hold, and for how long upstreams stay cold. The newer position wins, also across a restore of the store. Only what a VM read from the store while its news was fresh is reported, so that no cold time is passed on twice or comes late. Reports carry the age of the sender's news as well, which counts for the isolation of the receiver. Older builds skip the new fields, and reports without them change nothing.

--- a/src/libs/peers/datagram.thrift
+++ b/src/libs/peers/datagram.thrift
@@ -62,6 +62,15 @@
   17: list<RequestMark> cleared
   /** Whether the sender has lost the way to all upstreams. */
   18: bool reachesNoUpstream
+  /** Position in the store's history as of which the zones are known; 0 if they
+      are not. */
+  19: i64 evacuationsPosition
+  /** Zones that must not get new requests. */
+  20: list<string> evacuatedZones
+  /** Milliseconds for which upstreams stay cold, by the hash of their name. */
+  21: map<i32, i32> coldMs
+  /** Age of the sender's news of the store; -1 if it had none. */
+  22: i64 storeNewsAgeUs = -1
 }
 
 struct Row {
--- a/src/libs/peers/datagramcodec.cpp
+++ b/src/libs/peers/datagramcodec.cpp
@@ -122,6 +122,14 @@
   Message.crashes = toWire(Report.Crashes_.Crashes_);
   Message.blamed = toWire(Report.Crashes_.Blamed_);
   Message.cleared = toWire(Report.Crashes_.Cleared_);
+  Message.evacuationsPosition = Report.Evacuations_.Position_;
+  for (const base::ZoneName &Zone : Report.Evacuations_.Zones_)
+    Message.evacuatedZones.push_back(Zone.text());
+  for (const auto &[Tag, Remaining] : Report.Cold_)
+    Message.coldMs[static_cast<std::int32_t>(Tag)] =
+        static_cast<std::int32_t>(Remaining / std::chrono::milliseconds(1));
+  if (Report.StoreNewsAge_)
+    Message.storeNewsAgeUs = Report.StoreNewsAge_->count();
   return Message;
 }
 
@@ -152,6 +160,16 @@
       Report.Limits_.emplace(static_cast<traffic::NameTag>(Tag), *Limit);
   Report.Crashes_ = {fromWire(Message.crashes), fromWire(Message.blamed),
                      fromWire(Message.cleared)};
+  Report.Evacuations_.Position_ =
+      std::max<std::int64_t>(Message.evacuationsPosition, 0);
+  for (const std::string &Zone : Message.evacuatedZones)
+    Report.Evacuations_.Zones_.insert(base::ZoneName(Zone));
+  for (const auto &[Tag, Remaining] : Message.coldMs)
+    if (Remaining > 0)
+      Report.Cold_.emplace(static_cast<traffic::NameTag>(Tag),
+                           std::chrono::milliseconds(Remaining));
+  if (Message.storeNewsAgeUs >= 0)
+    Report.StoreNewsAge_ = base::Duration(Message.storeNewsAgeUs);
   return Report;
 }
 
--- a/src/libs/traffic/memberreport.h
+++ b/src/libs/traffic/memberreport.h
@@ -4,11 +4,13 @@
 #include "base/name.h"
 #include "base/time.h"
 #include "traffic/crashreport.h"
+#include "traffic/evacuations.h"
 #include "traffic/nametag.h"
 #include "traffic/reportedlimit.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace ebony::traffic {
@@ -44,6 +46,13 @@
   std::map<NameTag, ReportedLimit> Limits_;
   /// Requests that were under way when upstreams ended.
   CrashReport Crashes_;
+  /// Evacuated zones as the VM knows them from the store.
+  Evacuations Evacuations_;
+  /// Times for which upstreams stay cold by what the VM knows from the store,
+  /// by the tag of their name.
+  std::map<NameTag, base::Duration> Cold_;
+  /// Age of the VM's news of the store; std::nullopt if it had none.
+  std::optional<base::Duration> StoreNewsAge_;
 
   friend bool operator==(const MemberReport &, const MemberReport &) = default;
 };
--- a/src/libs/traffic/membertable.cpp
+++ b/src/libs/traffic/membertable.cpp
@@ -72,6 +72,24 @@
       }));
 }
 
+std::size_t MemberTable::countSilent(base::TimePoint From,
+                                     base::TimePoint To) const {
+  return static_cast<std::size_t>(std::count_if(
+      Members_.begin(), Members_.end(), [From, To](const auto &Entry) {
+        return Entry.second.LastReportAt_ >= From &&
+               Entry.second.LastReportAt_ < To &&
+               !Entry.second.Report_.IsLeaving_;
+      }));
+}
+
+std::optional<base::TimePoint> MemberTable::newestStoreNews() const {
+  std::optional<base::TimePoint> Newest;
+  for (const auto &[Name, Entry] : Members_)
+    if (const auto &Age = Entry.Report_.StoreNewsAge_)
+      Newest = std::max(Newest, std::optional(Entry.LastReportAt_ - *Age));
+  return Newest;
+}
+
 const MemberReport *MemberTable::find(const std::string &Name) const {
   const auto Entry = Members_.find(Name);
   return Entry == Members_.end() ? nullptr : &Entry->second.Report_;
--- a/src/libs/traffic/membertable.h
+++ b/src/libs/traffic/membertable.h
@@ -43,6 +43,14 @@
   /// Returns how many VMs reported at \p Since or later.
   std::size_t countHeardSince(base::TimePoint Since) const;
 
+  /// Returns how many VMs last reported between two times, and not that they
+  /// leave.
+  std::size_t countSilent(base::TimePoint From, base::TimePoint To) const;
+
+  /// Returns the time of the newest news of the store that other VMs had by
+  /// their reports; std::nullopt if they had none.
+  std::optional<base::TimePoint> newestStoreNews() const;
+
   /// Returns the last report of a VM, regardless of its age.
   const MemberReport *find(const std::string &Name) const;
   bool isLive(const std::string &Name, base::TimePoint Now) const;
--- a/src/libs/traffic/upstreamstate.h
+++ b/src/libs/traffic/upstreamstate.h
@@ -8,6 +8,8 @@
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
 
+#include <algorithm>
+
 namespace ebony::traffic {
 
 /// State of one upstream as seen by this VM. Requests in flight keep the object
@@ -25,6 +27,11 @@
   /// Requests in flight according to the last reports of the other VMs.
   int InFlightElsewhere_ = 0;
   base::TimePoint ColdUntil_{};
+  /// Until when the upstream is cold by fresh news of the store, which other
+  /// VMs may lack.
+  base::TimePoint ColdToReportUntil_{};
+  /// Until when the upstream is cold by the reports of other VMs.
+  base::TimePoint ReportedColdUntil_{};
   /// Smoothed ratio of measured to expected processing time at the last update.
   double LatencyFactor_ = 1.0;
   base::TimePoint LatencyFactorUpdatedAt_{};
@@ -58,10 +65,20 @@
 
   int load() const { return InFlight_ + InFlightElsewhere_; }
   int freeSlots() const { return Entry_.Slots_ - load(); }
-  bool isCold(base::TimePoint Now) const { return Now < ColdUntil_; }
+  bool isCold(base::TimePoint Now) const {
+    return Now < std::max(ColdUntil_, ReportedColdUntil_);
+  }
   /// Returns for how much longer the upstream is taken for cold.
   base::Duration coldRemaining(base::TimePoint Now) const {
-    return isCold(Now) ? ColdUntil_ - Now : base::Duration::zero();
+    return std::max(std::max(ColdUntil_, ReportedColdUntil_) - Now,
+                    base::Duration::zero());
+  }
+  /// Records that the upstream is cold until \p Until. \p IsFresh is whether
+  /// the news of it is, so that other VMs may be told.
+  void markCold(base::TimePoint Until, bool IsFresh) {
+    ColdUntil_ = std::max(ColdUntil_, Until);
+    if (IsFresh)
+      ColdToReportUntil_ = std::max(ColdToReportUntil_, Until);
   }
   bool isEjected(base::TimePoint Now) const { return Now < EjectedUntil_; }
 };
--- a/src/libs/traffic/upstreamtable.cpp
+++ b/src/libs/traffic/upstreamtable.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Most upstreams in one report; those that stay cold for longest go first.
+constexpr std::size_t MaxReportedCold = 128;
+
 bool isOtherProcess(const UpstreamEntry &Old, const UpstreamEntry &New) {
   return Old.StartedUnixMs_ != New.StartedUnixMs_ ||
          Old.Address_ != New.Address_ || Old.Port_ != New.Port_ ||
@@ -17,7 +20,7 @@
 } // namespace
 
 bool UpstreamTable::put(const UpstreamEntry &Entry, base::TimePoint Now,
-                        base::Duration MinColdTime) {
+                        base::Duration MinColdTime, bool IsFresh) {
   RemovedInGrace_.erase(Entry.Name_);
   UpstreamPtr &Upstream = Upstreams_[Entry.Name_];
   const base::Duration ColdTime =
@@ -36,7 +39,7 @@
       Upstream->Region_ = Zone->second;
   }
   if (ColdTime > base::Duration::zero())
-    Upstream->ColdUntil_ = std::max(Upstream->ColdUntil_, Now + ColdTime);
+    Upstream->markCold(Now + ColdTime, IsFresh);
   Upstream->Entry_ = Entry;
   rebuildGroups();
   return true;
@@ -75,11 +78,11 @@
 
 void UpstreamTable::setEvacuated(const std::set<base::ZoneName> &Zones,
                                  base::Duration ColdDuration,
-                                 base::TimePoint Now) {
+                                 base::TimePoint Now, bool IsFresh) {
   for (const auto &[Name, State] : Upstreams_) {
     const base::ZoneName &Zone = State->Entry_.Zone_;
     if (EvacuatedZones_.contains(Zone) && !Zones.contains(Zone))
-      State->ColdUntil_ = std::max(State->ColdUntil_, Now + ColdDuration);
+      State->markCold(Now + ColdDuration, IsFresh);
   }
   EvacuatedZones_ = Zones;
   rebuildGroups();
@@ -133,6 +136,38 @@
   return Result;
 }
 
+std::vector<UpstreamPtr>
+UpstreamTable::applyReportedCold(const std::map<NameTag, base::Duration> &Cold,
+                                 base::TimePoint Now) {
+  std::vector<UpstreamPtr> Changed;
+  if (Cold.empty())
+    return Changed;
+  for (const auto &[Name, Upstream] : Upstreams_) {
+    const auto Entry = Cold.find(Upstream->tag());
+    if (Entry == Cold.end())
+      continue;
+    if (!Upstream->isCold(Now))
+      Changed.push_back(Upstream);
+    Upstream->ReportedColdUntil_ =
+        std::max(Upstream->ReportedColdUntil_, Now + Entry->second);
+  }
+  return Changed;
+}
+
+std::map<NameTag, base::Duration>
+UpstreamTable::coldToReport(base::TimePoint Now) const {
+  std::vector<std::pair<base::TimePoint, NameTag>> Cold;
+  for (const auto &[Name, Upstream] : Upstreams_)
+    if (Upstream->ColdToReportUntil_ > Now)
+      Cold.emplace_back(Upstream->ColdToReportUntil_, Upstream->tag());
+  std::sort(Cold.rbegin(), Cold.rend());
+  Cold.resize(std::min(Cold.size(), MaxReportedCold));
+  std::map<NameTag, base::Duration> Result;
+  for (const auto &[Until, Tag] : Cold)
+    Result.emplace(Tag, Until - Now);
+  return Result;
+}
+
 std::int64_t UpstreamTable::limitedCount() const {
   return std::count_if(
       Upstreams_.begin(), Upstreams_.end(),
--- a/src/libs/traffic/upstreamtable.h
+++ b/src/libs/traffic/upstreamtable.h
@@ -24,9 +24,11 @@
 
   /// Adds or updates an upstream. If the process has restarted under the same
   /// name, its state is reset. One that was not in the table is taken for cold
-  /// for at least \p MinColdTime. Returns false if nothing changed.
+  /// for at least \p MinColdTime. \p IsFresh is whether the entry is new to the
+  /// fleet. Returns false if nothing changed.
   bool put(const UpstreamEntry &Entry, base::TimePoint Now,
-           base::Duration MinColdTime = base::Duration::zero());
+           base::Duration MinColdTime = base::Duration::zero(),
+           bool IsFresh = true);
 
   /// Removes an upstream: at once, or during the grace period when that ends.
   void remove(const base::UpstreamName &Name, base::TimePoint Now);
@@ -47,9 +49,11 @@
 
   /// Sets the zones that must not get new requests. Upstreams of a zone that is
   /// no longer evacuated are treated as cold for \p ColdDuration, since their
-  /// entries may be outdated.
+  /// entries may be outdated. \p IsFresh is whether the change is new to the
+  /// fleet.
   void setEvacuated(const std::set<base::ZoneName> &Zones,
-                    base::Duration ColdDuration, base::TimePoint Now);
+                    base::Duration ColdDuration, base::TimePoint Now,
+                    bool IsFresh = true);
 
   /// Returns the upstreams of a service that are neither draining nor in an
   /// evacuated zone.
@@ -70,6 +74,15 @@
   /// Returns the limits of upstreams to report to other VMs.
   std::map<NameTag, ReportedLimit> limitsToReport(base::TimePoint Now) const;
 
+  /// Applies the times for which upstreams stay cold that another VM has
+  /// reported. Returns the upstreams that were taken for warm.
+  std::vector<UpstreamPtr>
+  applyReportedCold(const std::map<NameTag, base::Duration> &Cold,
+                    base::TimePoint Now);
+
+  /// Returns the times for which upstreams stay cold, to report to other VMs.
+  std::map<NameTag, base::Duration> coldToReport(base::TimePoint Now) const;
+
   /// Returns the number of upstreams that name a limit of their request rate.
   std::int64_t limitedCount() const;
 
--- a/src/libs/vm/statesynchronizer.cpp
+++ b/src/libs/vm/statesynchronizer.cpp
@@ -24,6 +24,7 @@
            },
            nullptr, nullptr, false,
            [this](base::TimePoint Now) {
+             publishEvacuations();
              State_.StoreNews_.recordEvacuations(Now);
            }}),
       UpstreamFollower_(State, State.Platform_.UpstreamTable_, UpstreamPace,
@@ -49,12 +50,10 @@
     const std::vector<store::Row> &Rows) {
   EvacuatedZones_.clear();
   applyOperatorRows(Rows);
-  applyEvacuations();
 }
 
 void StateSynchronizer::applyOperatorRows(const std::vector<store::Row> &Rows) {
   const std::string &Prefix = State_.Platform_.EvacuationPrefix_;
-  const std::set<base::ZoneName> Before = EvacuatedZones_;
   for (const store::Row &Row : Rows) {
     if (Row.Key_ == State_.Platform_.ConfigurationKey_ && !Row.IsRemoved_)
       applyConfiguration(Row);
@@ -66,8 +65,7 @@
     else
       EvacuatedZones_.insert(Zone);
   }
-  if (EvacuatedZones_ != Before)
-    applyEvacuations();
+  publishEvacuations();
 }
 
 void StateSynchronizer::applyConfiguration(const store::Row &Row) {
@@ -90,28 +88,9 @@
                  .add("row_version", Row.Version_));
 }
 
-void StateSynchronizer::applyEvacuations() {
-  State_.Upstreams_.setEvacuated(EvacuatedZones_, longestColdDuration(),
-                                 State_.now());
-  EventLine Line("evacuated-zones");
-  std::string Zones;
-  for (const base::ZoneName &Zone : EvacuatedZones_)
-    Zones += (Zones.empty() ? "" : ",") + Zone.text();
-  State_.log(
-      Line.add("zones", Zones).add("position", OperatorFollower_.position()));
-}
-
-base::Duration StateSynchronizer::longestColdDuration() const {
-  base::Duration Longest{};
-  if (!State_.Rules_)
-    return Longest;
-  for (const auto &[Name, Upstream] : State_.Upstreams_.all()) {
-    const traffic::ServiceSettings *Service =
-        State_.Rules_->findService(Upstream->Entry_.Service_);
-    if (Service)
-      Longest = std::max(Longest, Service->ColdDuration_);
-  }
-  return Longest;
+void StateSynchronizer::publishEvacuations() {
+  State_.setEvacuations({OperatorFollower_.position(), EvacuatedZones_},
+                        State_.hasFreshStoreNews());
 }
 
 // An upstream that cannot reach the store loses its entry, and may go cold
@@ -168,17 +147,20 @@
   const traffic::UpstreamPtr Previous = State_.Upstreams_.find(Entry->Name_);
   const bool WasDraining = Previous && Previous->Entry_.IsDraining_;
   const bool WasCold = Previous && Previous->isCold(State_.now());
-  if (!State_.Upstreams_.put(*Entry, State_.now(), minColdTime(*Entry)))
+  if (!State_.Upstreams_.put(*Entry, State_.now(), minColdTime(*Entry),
+                             State_.hasFreshStoreNews()))
     return;
   const base::Duration ColdRemaining =
       State_.Upstreams_.find(Entry->Name_)->coldRemaining(State_.now());
   if (Previous && WasDraining == Entry->IsDraining_ &&
       Previous->Entry_.StartedUnixMs_ == Entry->StartedUnixMs_) {
-    if (!WasCold && Previous->isCold(State_.now()))
-      State_.log(EventLine("upstream-cold")
-                     .add("upstream", Row.Key_)
-                     .add("cold_ms", Entry->ColdRemaining_.count() / 1000)
-                     .add("row_version", Row.Version_));
+    if (WasCold || !Previous->isCold(State_.now()))
+      return;
+    State_.AreReportsDue_ = State_.AreReportsDue_ || State_.readsForRegion();
+    State_.log(EventLine("upstream-cold")
+                   .add("upstream", Row.Key_)
+                   .add("cold_ms", Entry->ColdRemaining_.count() / 1000)
+                   .add("row_version", Row.Version_));
     return;
   }
   State_.log(EventLine("upstream-listed")
--- a/src/libs/vm/statesynchronizer.h
+++ b/src/libs/vm/statesynchronizer.h
@@ -20,11 +20,11 @@
   void replaceOperatorRows(const std::vector<store::Row> &Rows);
   void applyOperatorRows(const std::vector<store::Row> &Rows);
   void applyConfiguration(const store::Row &Row);
-  void applyEvacuations();
+  /// Passes on the evacuated zones with the position as of which they hold.
+  void publishEvacuations();
   void replaceUpstreams(const std::vector<store::Row> &Rows);
   void applyUpstreamRows(const std::vector<store::Row> &Rows);
   void applyUpstream(const store::Row &Row);
-  base::Duration longestColdDuration() const;
   /// Returns for how long an upstream is at least taken for cold if it was not
   /// listed before \p Entry.
   base::Duration minColdTime(const traffic::UpstreamEntry &Entry) const;
--- a/src/libs/vm/vmstate.cpp
+++ b/src/libs/vm/vmstate.cpp
@@ -20,6 +20,10 @@
 // several report intervals.
 constexpr base::Duration MemberTimeout = std::chrono::milliseconds(2500);
 
+// Age of the VM's news of the store up to which what it learns is new to the
+// other VMs as well; longer than two reads of the store take.
+constexpr base::Duration MaxFreshNewsAge = std::chrono::milliseconds(2500);
+
 // Fraction of the rate limit of a cold upstream that is used; the rest allows
 // for VMs with a different view of the fleet.
 constexpr double ColdLimitFraction = 0.8;
@@ -120,10 +124,69 @@
   Metrics_.BlamedRequests_.set(static_cast<std::int64_t>(Blamed.size()));
 }
 
+void VmState::setEvacuations(traffic::Evacuations Evacuations, bool IsFresh) {
+  const bool IsChange = Evacuations.Zones_ != OwnEvacuations_.Zones_ ||
+                        OwnEvacuations_.Position_ == 0;
+  const std::set<base::ZoneName> Before = evacuatedZones();
+  OwnEvacuations_ = std::move(Evacuations);
+  if (IsChange || evacuatedZones() != Before)
+    applyEvacuations("store", IsFresh);
+}
+
+std::set<base::ZoneName> VmState::evacuatedZones() const {
+  return OwnEvacuations_.Position_ >= ReportedEvacuations_.Position_
+             ? OwnEvacuations_.Zones_
+             : ReportedEvacuations_.Zones_;
+}
+
+void VmState::applyEvacuations(const std::string &Source, bool IsFresh) {
+  const std::set<base::ZoneName> Evacuated = evacuatedZones();
+  Upstreams_.setEvacuated(Evacuated, longestColdDuration(), now(), IsFresh);
+  std::string Zones;
+  for (const base::ZoneName &Zone : Evacuated)
+    Zones += (Zones.empty() ? "" : ",") + Zone.text();
+  log(telemetry::EventLine("evacuated-zones")
+          .add("zones", Zones)
+          .add("by", Source)
+          .add("position", std::max(OwnEvacuations_.Position_,
+                                    ReportedEvacuations_.Position_)));
+  // VMs of other regions may not reach the store.
+  AreReportsDue_ = AreReportsDue_ || (IsFresh && readsForRegion());
+}
+
+base::Duration VmState::longestColdDuration() const {
+  base::Duration Longest{};
+  if (!Rules_)
+    return Longest;
+  for (const auto &[Name, Upstream] : Upstreams_.all()) {
+    const traffic::ServiceSettings *Service =
+        Rules_->findService(Upstream->Entry_.Service_);
+    if (Service)
+      Longest = std::max(Longest, Service->ColdDuration_);
+  }
+  return Longest;
+}
+
+bool VmState::hasFreshStoreNews() const {
+  return StoreNews_.age(now()) < MaxFreshNewsAge;
+}
+
 void VmState::recordReport(const traffic::MemberReport &Report) {
   for (const traffic::UpstreamPtr &Upstream :
        Upstreams_.applyReportedLimits(Report.Limits_, now()))
     logNamedLimit(*Upstream, "by", Report.Name_);
+  if (Report.Evacuations_.Position_ > ReportedEvacuations_.Position_) {
+    const std::set<base::ZoneName> Before = evacuatedZones();
+    ReportedEvacuations_ = Report.Evacuations_;
+    if (evacuatedZones() != Before)
+      applyEvacuations(Report.Name_, false);
+  }
+  for (const traffic::UpstreamPtr &Upstream :
+       Upstreams_.applyReportedCold(Report.Cold_, now()))
+    log(telemetry::EventLine("upstream-cold")
+            .add("upstream", Upstream->Entry_.Name_.text())
+            .add("cold_ms", Upstream->coldRemaining(now()).count() / 1000)
+            .add("by", Report.Name_));
   Crashes_.applyReport(Report.Crashes_, now());
   logBlamedRequests("by", Report.Name_);
   if (Members_.recordReport(Report, now()))
@@ -134,7 +197,9 @@
 }
 
 void VmState::updateIsolation() {
-  const base::Duration NewsAge = StoreNews_.age(now());
+  base::Duration NewsAge = StoreNews_.age(now());
+  if (const auto Reported = Members_.newestStoreNews())
+    NewsAge = std::min(NewsAge, now() - *Reported);
   if (!Isolation_.update(Members_, NewsAge, now()))
     return;
   const bool IsIsolated = Isolation_.isIsolated();
@@ -186,6 +251,10 @@
   Report.Demand_ = Quota_.demand(now());
   Report.Limits_ = Upstreams_.limitsToReport(now());
   Report.Crashes_ = Crashes_.report(now());
+  Report.Evacuations_ = OwnEvacuations_;
+  Report.Cold_ = Upstreams_.coldToReport(now());
+  if (OwnEvacuations_.Position_ > 0)
+    Report.StoreNewsAge_ = StoreNews_.age(now());
   return Report;
 }
 
--- a/src/libs/vm/vmstate.h
+++ b/src/libs/vm/vmstate.h
@@ -49,6 +49,14 @@
   /// what showed it.
   void logBlamedRequests(std::string_view SourceKey, const std::string &Source);
 
+  /// Applies the evacuated zones as read from the store. \p IsFresh is whether
+  /// the VM's news of the store was fresh before.
+  void setEvacuations(traffic::Evacuations Evacuations, bool IsFresh);
+
+  /// Returns whether the VM's news of the store has been fresh all the while,
+  /// so that what it learns now is new to the fleet.
+  bool hasFreshStoreNews() const;
+
   /// Applies a report of another VM.
   void recordReport(const traffic::MemberReport &Report);
 
@@ -106,14 +114,24 @@
   /// Connections to other VMs for relayed requests, by the VM's name.
   UpstreamConnectionPool PeerConnections_;
   TableNewsRouter News_;
+  /// Evacuated zones as this VM read them from the store.
+  traffic::Evacuations OwnEvacuations_;
   bool KnowsUpstreams_ = false;
   /// Whether the other VMs need to know something before the next report.
   bool AreReportsDue_ = false;
   /// Requests that were refused at the last call of logBlamedRequests().
   std::map<traffic::RequestFingerprint, base::TimePoint> LoggedBlame_;
   bool IsStopping_ = false;
+  /// Newest evacuated zones by the reports of other VMs.
+  traffic::Evacuations ReportedEvacuations_;
   /// Set in the last phase of a stop, in which new requests are refused.
   bool RefusesNewRequests_ = false;
+
+private:
+  /// Applies the newer of what this VM read and what others reported.
+  void applyEvacuations(const std::string &Source, bool IsFresh);
+  base::Duration longestColdDuration() const;
+  std::set<base::ZoneName> evacuatedZones() const;
 };
 
 } // namespace ebony::vm
--- a/tests/libs/peers/datagramcodectest.cpp
+++ b/tests/libs/peers/datagramcodectest.cpp
@@ -30,6 +30,9 @@
                      {{0xfedcba9876543210U, std::chrono::seconds(3)}},
                      {{7, std::chrono::seconds(4)}}};
   Report.Sent_ = base::TimePoint(std::chrono::seconds(9));
+  Report.Evacuations_ = {77, {base::ZoneName("east-b")}};
+  Report.Cold_[traffic::tagOf("u4")] = std::chrono::milliseconds(2900);
+  Report.StoreNewsAge_ = std::chrono::milliseconds(600);
   return Report;
 }
 
--- a/tests/libs/vm/isolatedvmfloodtest.cpp
+++ b/tests/libs/vm/isolatedvmfloodtest.cpp
@@ -14,8 +14,7 @@
   for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
     VirtualFleet::Options Site = smallSite(Seed);
     Site.VmsPerZone_ = 4;
-    VirtualFleet Fleet(Site);
-    checkEvacuation(Fleet, Site, [&] {
+    checkEvacuation(Site, [](VirtualFleet &Fleet) {
       auto Vms = Fleet.vmsOf("sa");
       const auto Neighbours = Fleet.vmsOf("sb");
       Vms.insert(Vms.end(), Neighbours.begin(), Neighbours.end());
@@ -28,8 +27,7 @@
 BOOST_AUTO_TEST_CASE(vmsThatAreAloneDoNotFloodColdUpstreams) {
   for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
     const VirtualFleet::Options Site = smallSite(Seed);
-    VirtualFleet Fleet(Site);
-    checkEvacuation(Fleet, Site, [&] {
+    checkEvacuation(Site, [](VirtualFleet &Fleet) {
       for (std::size_t I = 0; I < Fleet.vmCount(); ++I)
         if (I % 6 != 5)
           Fleet.partition({I});
--- a/tests/libs/vm/unseenevacuationfloodtest.cpp
+++ b/tests/libs/vm/unseenevacuationfloodtest.cpp
@@ -13,8 +13,7 @@
 BOOST_AUTO_TEST_CASE(regionsWithoutStoreDoNotFloodColdUpstreams) {
   for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
     const VirtualFleet::Options Site = smallSite(Seed);
-    VirtualFleet Fleet(Site);
-    checkEvacuation(Fleet, Site, [&] {
+    checkEvacuation(Site, [](VirtualFleet &Fleet) {
       for (const char *Region : {"s", "o"})
         for (const std::size_t Number : Fleet.vmsOf(Region))
           Fleet.cutFromStore(Number);
