--- a/src/libs/traffic/isolationdetector.h
+++ b/src/libs/traffic/isolationdetector.h
@@ -12,9 +12,10 @@
 /// Load pattern: a zone is evacuated and taken back within seconds while VMs,
 /// one by one or zone by zone, reach neither the store nor the other VMs.
 ///
-/// A VM without news of the store that hears most other VMs is not isolated:
-/// the store has failed for all, or the others tell it what they know. Not
-/// thread-safe; reads no clock.
+/// A VM without news of the store that still hears all other VMs is not
+/// isolated: the store has failed for all, or the others tell it what they
+/// know. If some fell silent lately, they may be in touch with the store, and
+/// the operator with them. Not thread-safe; reads no clock.
 class IsolationDetector {
 public:
   /// Updates the decision. \p NewsAge is the age of the VM's news of the store.
@@ -32,12 +33,15 @@
   std::size_t heardCount() const { return HeardCount_; }
   /// Returns how many other VMs were expected.
   std::size_t expectedCount() const { return ExpectedCount_; }
+  /// Returns how many of them fell silent a short time ago.
+  std::size_t silentCount() const { return SilentCount_; }
 
 private:
   bool IsIsolated_ = false;
   bool HearsFewVms_ = false;
   std::size_t HeardCount_ = 0;
   std::size_t ExpectedCount_ = 0;
+  std::size_t SilentCount_ = 0;
 };
 
 } // namespace ebony::traffic
--- a/src/libs/vm/vmstate.cpp
+++ b/src/libs/vm/vmstate.cpp
@@ -209,6 +209,8 @@
           .add("heard_vms", static_cast<std::int64_t>(Isolation_.heardCount()))
           .add("expected_vms",
                static_cast<std::int64_t>(Isolation_.expectedCount()))
+          .add("silent_vms",
+               static_cast<std::int64_t>(Isolation_.silentCount()))
           .add("store_news_ms", NewsAge.count() / 1000));
 }
 
--- a/tests/libs/vm/isolatedvmfloodtest.cpp
+++ b/tests/libs/vm/isolatedvmfloodtest.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <numeric>
+
 using namespace ebony;
 using namespace ebony::vm;
 using namespace ebony::vm::evacuationday;
@@ -35,6 +37,18 @@
   }
 }
 
+// The smaller part of the fleet has the store, and the operator with it.
+BOOST_AUTO_TEST_CASE(largePartWithoutStoreDoesNotFloodColdUpstreams) {
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    const VirtualFleet::Options Site = smallSite(Seed);
+    checkEvacuation(Site, [](VirtualFleet &Fleet) {
+      std::vector<std::size_t> Vms(Fleet.vmCount() - 1);
+      std::iota(Vms.begin(), Vms.end(), std::size_t{0});
+      Fleet.partition(Vms);
+    });
+  }
+}
+
 // An outage of the store for all VMs is no reason to hold requests back.
 BOOST_AUTO_TEST_CASE(storeOutageDoesNotHoldRequestsBack) {
   VirtualFleet::Options Site = smallSite(1);
