Keep upstreams cold when an entry of another run arrives

An upstream that has started again under its name would get the usual rate of requests while it is cold.

Cause: UpstreamTable::put() took an entry of another run of the process for a new state without a cold time. The store may perform a write without an answer seconds later, so that an entry of the earlier run arrives after one of the later run: the upstream counted as warm from then on, and the next entry of the later run left it warm. The same holds for a run whose first entry does not say how long it is cold.

The fix: an entry of another run keeps the cold time that is known, and such a run is taken for cold for the cold time of its service, as one that is listed anew. No order of starts is assumed, since clocks of upstreams may jump.

--- a/src/libs/traffic/upstreamstate.h
+++ b/src/libs/traffic/upstreamstate.h
@@ -80,6 +80,12 @@
     if (IsFresh)
       ColdToReportUntil_ = std::max(ColdToReportUntil_, Until);
   }
+  /// Takes over for how long another run of the upstream is cold.
+  void keepCold(const UpstreamState &Other) {
+    ColdUntil_ = Other.ColdUntil_;
+    ColdToReportUntil_ = Other.ColdToReportUntil_;
+    ReportedColdUntil_ = Other.ReportedColdUntil_;
+  }
   bool isEjected(base::TimePoint Now) const { return Now < EjectedUntil_; }
 };
 
--- a/src/libs/traffic/upstreamtable.cpp
+++ b/src/libs/traffic/upstreamtable.cpp
@@ -23,16 +23,20 @@
                         base::Duration MinColdTime, bool IsFresh) {
   RemovedInGrace_.erase(Entry.Name_);
   UpstreamPtr &Upstream = Upstreams_[Entry.Name_];
-  const base::Duration ColdTime =
-      Upstream ? Entry.ColdRemaining_
-               : std::max(Entry.ColdRemaining_, MinColdTime);
   const bool IsNew = !Upstream || isOtherProcess(Upstream->Entry_, Entry);
+  const base::Duration ColdTime =
+      IsNew ? std::max(Entry.ColdRemaining_, MinColdTime)
+            : Entry.ColdRemaining_;
   if (!IsNew && Upstream->Entry_ == Entry)
     return false;
   if (IsNew) {
-    if (Upstream)
-      Upstream->IsListed_ = false;
+    const UpstreamPtr Previous = Upstream;
     Upstream = UpstreamPtr(new UpstreamState);
+    if (Previous) {
+      Previous->IsListed_ = false;
+      // The entry may be an older one that the store has written late.
+      Upstream->keepCold(*Previous);
+    }
     Upstream->NameHash_ = base::stableHash(Entry.Name_.text());
     const auto Zone = Zones_.find(Entry.Zone_);
     if (Zone != Zones_.end())
--- a/src/libs/traffic/upstreamtable.h
+++ b/src/libs/traffic/upstreamtable.h
@@ -22,10 +22,11 @@
                 base::Duration GracePeriod)
       : Zones_(std::move(Zones)), GracePeriod_(GracePeriod) {}
 
-  /// Adds or updates an upstream. If the process has restarted under the same
-  /// name, its state is reset. One that was not in the table is taken for cold
-  /// for at least \p MinColdTime. \p IsFresh is whether the entry is new to the
-  /// fleet. Returns false if nothing changed.
+  /// Adds or updates an upstream. If the entry is of another process under the
+  /// same name, the upstream's state is reset, but not for how long it is cold.
+  /// A process that was not in the table is taken for cold for at least \p
+  /// MinColdTime. \p IsFresh is whether the entry is new to the fleet. Returns
+  /// false if nothing changed.
   bool put(const UpstreamEntry &Entry, base::TimePoint Now,
            base::Duration MinColdTime = base::Duration::zero(),
            bool IsFresh = true);
