--- a/src/libs/vm/statesynchronizer.cpp
+++ b/src/libs/vm/statesynchronizer.cpp
@@ -11,6 +11,9 @@
 
 using telemetry::EventLine;
 
+// Malformed entries that are remembered, so that each is logged once.
+constexpr std::size_t MaxMalformedEntries = 1000;
+
 } // namespace
 
 StateSynchronizer::StateSynchronizer(VmState &State)
@@ -122,6 +125,7 @@
       applyUpstream(Row);
       continue;
     }
+    MalformedEntries_.erase(Row.Key_);
     const base::UpstreamName Name(Row.Key_);
     State_.Upstreams_.remove(Name, State_.now());
     if (!State_.Upstreams_.find(Name))
@@ -134,16 +138,26 @@
       static_cast<std::int64_t>(State_.Upstreams_.all().size()));
 }
 
+// The current entry cannot be decoded, so nothing is sent to the upstream.
+void StateSynchronizer::removeMalformed(const store::Row &Row) {
+  State_.Upstreams_.remove(base::UpstreamName(Row.Key_), State_.now());
+  if (MalformedEntries_.size() >= MaxMalformedEntries)
+    MalformedEntries_.clear();
+  // An upstream may write the same entry at each heartbeat.
+  if (!MalformedEntries_.insert(Row.Key_).second)
+    return;
+  State_.log(EventLine("upstream-entry-malformed")
+                 .add("upstream", Row.Key_)
+                 .add("row_version", Row.Version_));
+}
+
 void StateSynchronizer::applyUpstream(const store::Row &Row) {
   const auto Entry = State_.Platform_.DecodeUpstream_(Row);
   if (!Entry) {
-    State_.log(EventLine("upstream-entry-malformed")
-                   .add("upstream", Row.Key_)
-                   .add("row_version", Row.Version_));
-    // The current entry cannot be decoded, so nothing is sent to the upstream.
-    State_.Upstreams_.remove(base::UpstreamName(Row.Key_), State_.now());
+    removeMalformed(Row);
     return;
   }
+  MalformedEntries_.erase(Row.Key_);
   const traffic::UpstreamPtr Previous = State_.Upstreams_.find(Entry->Name_);
   const bool WasDraining = Previous && Previous->Entry_.IsDraining_;
   const bool WasCold = Previous && Previous->isCold(State_.now());
--- a/src/libs/vm/statesynchronizer.h
+++ b/src/libs/vm/statesynchronizer.h
@@ -25,6 +25,8 @@
   void replaceUpstreams(const std::vector<store::Row> &Rows);
   void applyUpstreamRows(const std::vector<store::Row> &Rows);
   void applyUpstream(const store::Row &Row);
+  /// Removes the upstream whose entry cannot be decoded.
+  void removeMalformed(const store::Row &Row);
   /// Returns for how long an upstream is at least taken for cold if it was not
   /// listed before \p Entry.
   base::Duration minColdTime(const traffic::UpstreamEntry &Entry) const;
@@ -33,6 +35,8 @@
   TableFollower OperatorFollower_;
   TableFollower UpstreamFollower_;
   std::set<base::ZoneName> EvacuatedZones_;
+  /// Rows of the upstreams' table that cannot be decoded.
+  std::set<std::string> MalformedEntries_;
 };
 
 } // namespace ebony::vm
