Do not reuse a connection for an id that it has carried

What callers saw: from other operators' reports, a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told "not run, try again" for requests that an upstream ran (REFUSED), or such a request ran at a second upstream (TWICE). Both happen here for callers who repeat a request under its id.

Cause: a late copy of a response is told from the expected one by the request's id. When the caller repeats a refused request under the same id and it goes out on the same connection, the copy has the id that is expected.

The fix: a connection remembers the last 16 ids that it carried, 64 bytes each connection, and is not used for one of them again. A repeat costs a new connection, a caller that sends no ids one for each request.

--- a/src/libs/vm/upstreamattempt.cpp
+++ b/src/libs/vm/upstreamattempt.cpp
@@ -83,7 +83,7 @@
 
 awaitable<AttemptResult> UpstreamAttempt::run(const CallerRequest &Request,
                                               BodySource MoreBody) {
-  const bool IsConnected = co_await connect();
+  const bool IsConnected = co_await connect(Request.Id_);
   if (!IsConnected)
     co_return IsAbandoned_ ? AttemptResult::CallerLeft
                            : AttemptResult::Unreachable;
@@ -97,6 +97,7 @@
   else
     UnsentBody_ = Request.Body_;
   WasSent_ = true;
+  Connection_->recordRequest(Request.Id_);
   error_code Error;
   co_await asio::async_write(Connection_->socket(), asio::buffer(Head),
                              into(Error));
@@ -155,11 +156,11 @@
   });
 }
 
-awaitable<bool> UpstreamAttempt::connect() {
+awaitable<bool> UpstreamAttempt::connect(const std::string &RequestId) {
   // The time at which the options were created, just before the attempt.
   const base::TimePoint Now = Options_.Deadline_ - Options_.TimeLeft_;
-  Connection_ =
-      Connections_.acquire(Options_.Upstream_, Options_.MaxIdle_, Now);
+  Connection_ = Connections_.acquire(Options_.Upstream_, RequestId,
+                                     Options_.MaxIdle_, Now);
   if (Connection_)
     co_return true;
   Connection_ = Connections_.create();
--- a/src/libs/vm/upstreamattempt.h
+++ b/src/libs/vm/upstreamattempt.h
@@ -88,7 +88,7 @@
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
-  asynckit::awaitable<bool> connect();
+  asynckit::awaitable<bool> connect(const std::string &RequestId);
   void armTimer();
   void armFinalTimer();
   asynckit::awaitable<void> sendBody(std::shared_ptr<UpstreamAttempt> Self,
--- a/src/libs/vm/upstreamconnection.h
+++ b/src/libs/vm/upstreamconnection.h
@@ -7,6 +7,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <string_view>
+
 namespace ebony::vm {
 
 /// One connection to an upstream, used by one request at a time.
@@ -27,6 +32,22 @@
     Socket_.close(Ignored);
   }
 
+  /// Records that a request was sent. Its id may come again, as that of a
+  /// caller who repeats it.
+  void recordRequest(std::string_view Id) {
+    RecentIds_.at(RequestCount_++ % RecentIds_.size()) = hashOf(Id);
+  }
+
+  /// Returns whether one of the last requests had this id, so that a copy of
+  /// its response could be taken for that to the next.
+  bool hasCarried(std::string_view Id) const {
+    const std::size_t Count = std::min(RequestCount_, RecentIds_.size());
+    return std::find(RecentIds_.begin(),
+                     RecentIds_.begin() + static_cast<std::ptrdiff_t>(Count),
+                     hashOf(Id)) !=
+           RecentIds_.begin() + static_cast<std::ptrdiff_t>(Count);
+  }
+
   bool IsIdle_ = false;
   bool WasUsed_ = false;
   base::TimePoint IdleSince_{};
@@ -38,8 +59,18 @@
   /// ends the attempt: an upstream in trouble may send one without end.
   static constexpr std::size_t MaxUnparsedBytes = 128UL * 1024;
 
+  /// Number of requests whose ids are remembered; a repeat follows within a
+  /// few.
+  static constexpr std::size_t RecentIdCount = 16;
+
+  static std::uint32_t hashOf(std::string_view Id) {
+    return static_cast<std::uint32_t>(std::hash<std::string_view>()(Id));
+  }
+
   boost::asio::ip::tcp::socket Socket_;
   boost::beast::flat_buffer Buffer_;
+  std::array<std::uint32_t, RecentIdCount> RecentIds_{};
+  std::size_t RequestCount_ = 0;
 };
 
 } // namespace ebony::vm
--- a/src/libs/vm/upstreamconnectionpool.cpp
+++ b/src/libs/vm/upstreamconnectionpool.cpp
@@ -24,6 +24,7 @@
 
 UpstreamConnectionPtr
 UpstreamConnectionPool::acquire(const base::UpstreamName &Upstream,
+                                std::string_view RequestId,
                                 base::Duration MaxIdle, base::TimePoint Now) {
   const auto Entry = Idle_.find(Upstream);
   if (Entry == Idle_.end())
@@ -31,10 +32,15 @@
   std::vector<UpstreamConnectionPtr> &Connections = Entry->second;
   // The connection released last is the least likely to be closed by the
   // upstream.
-  if (Connections.empty() || isExpired(*Connections.back(), MaxIdle, Now))
+  const auto Newest =
+      std::find_if(Connections.rbegin(), Connections.rend(),
+                   [RequestId](const UpstreamConnectionPtr &Connection) {
+                     return !Connection->hasCarried(RequestId);
+                   });
+  if (Newest == Connections.rend() || isExpired(**Newest, MaxIdle, Now))
     return nullptr;
-  UpstreamConnectionPtr Connection = std::move(Connections.back());
-  Connections.pop_back();
+  UpstreamConnectionPtr Connection = std::move(*Newest);
+  Connections.erase(std::next(Newest).base());
   Connection->IsIdle_ = false;
   return Connection;
 }
--- a/src/libs/vm/upstreamconnectionpool.h
+++ b/src/libs/vm/upstreamconnectionpool.h
@@ -19,9 +19,11 @@
   explicit UpstreamConnectionPool(boost::asio::io_context &Context)
       : Context_(Context) {}
 
-  /// Returns a connection that has been idle for at most \p MaxIdle, or null if
-  /// there is none.
+  /// Returns a connection that has been idle for at most \p MaxIdle and has not
+  /// carried a request with the id \p RequestId lately, or null if there is
+  /// none.
   UpstreamConnectionPtr acquire(const base::UpstreamName &Upstream,
+                                std::string_view RequestId,
                                 base::Duration MaxIdle, base::TimePoint Now);
 
   /// Returns a new, unconnected connection.
--- a/tests/libs/vm/fakeupstream.h
+++ b/tests/libs/vm/fakeupstream.h
@@ -55,6 +55,14 @@
   void setMayAnswer(std::function<bool(const FakeRequest &)> MayAnswer) {
     MayAnswer_ = std::move(MayAnswer);
   }
+  /// Answers with the bytes that \p MakeBytes returns for a request and its
+  /// number on its connection; closes the connection then if \p Closes.
+  void
+  setRawResponse(std::function<std::string(const FakeRequest &, int)> MakeBytes,
+                 bool Closes) {
+    MakeBytes_ = std::move(MakeBytes);
+    ClosesAfterBytes_ = Closes;
+  }
   /// Adds complete header lines to each response.
   void setExtraFields(std::string Lines) { ExtraFields_ = std::move(Lines); }
   std::uint16_t port() const { return Acceptor_.local_endpoint().port(); }
@@ -84,7 +92,7 @@
     boost::asio::ip::tcp::socket &Socket = *Connection;
     boost::beast::flat_buffer Buffer;
     asynckit::error_code Error;
-    for (;;) {
+    for (int Number = 1;; ++Number) {
       FakeRequest Request;
       co_await boost::beast::http::async_read(Socket, Buffer, Request,
                                               asynckit::into(Error));
@@ -112,11 +120,14 @@
         co_await sendEndlessly(Socket);
         co_return;
       }
-      const std::string Answer = responseTo(std::string(Request["Id"]));
+      const std::string Answer = MakeBytes_
+                                     ? MakeBytes_(Request, Number)
+                                     : responseTo(std::string(Request["Id"]));
       co_await boost::asio::async_write(Socket, boost::asio::buffer(Answer),
                                         asynckit::into(Error));
       ++Answered_;
-      if (Error || Behaviour_ == FakeBehaviour::TruncatedResponse) {
+      if (Error || Behaviour_ == FakeBehaviour::TruncatedResponse ||
+          ClosesAfterBytes_) {
         Socket.close(Error);
         co_return;
       }
@@ -184,6 +195,8 @@
   boost::asio::ip::tcp::acceptor Acceptor_;
   FakeBehaviour Behaviour_ = FakeBehaviour::Answer;
   std::string ExtraFields_;
+  std::function<std::string(const FakeRequest &, int)> MakeBytes_;
+  bool ClosesAfterBytes_ = false;
   std::function<bool(const FakeRequest &)> MayAnswer_;
   std::vector<std::shared_ptr<boost::asio::ip::tcp::socket>> Connections_;
   bool HasCrashed_ = false;
