--- a/tests/libs/vm/laterefusaltest.cpp
+++ b/tests/libs/vm/laterefusaltest.cpp
@@ -26,7 +26,7 @@
       One->setRawResponse(
           [this, Upstream](const FakeRequest &Request, int Number) {
             const std::string Id(Request["Id"]);
-            const std::string Refusal = RefusalOf + Id + "\r\n\r\n";
+            std::string Refusal = RefusalOf + Id + "\r\n\r\n";
             if (++Seen_[{Upstream, Id}] == 1)
               return Refusal;
             ++Runs_;
