--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -22,6 +22,7 @@
 HISTORY_S = 20.0
 ANSWER_S = 0.004
 MAX_FEED_ROWS = 500
+MAX_PAGE_BYTES = 1 << 20
 
 # The bounds of the site cfm-swaps, as its processes get them.
 BOUNDS = {
@@ -108,6 +109,7 @@
         self.record = record
         self.version = 100
         self.era = 0
+        self.is_quiet = False
         self.oldest = self.version
         self.rows = {}
         self.log = []
@@ -153,6 +155,18 @@
                 self.oldest = self.log.pop(0)[1]["versionNumber"]
             self.changed.notify_all()
 
+    async def compact(self, quiet_s=1.0):
+        """Readers of changes hear nothing for a while, then the history is dropped and they get 410."""
+        self.record.write("store-compacts", version=self.version)
+        self.is_quiet = True
+        await asyncio.sleep(quiet_s)
+        async with self.changed:
+            self.log = []
+            self.oldest = self.version
+            self.is_quiet = False
+            self.changed.notify_all()
+        self.record.write("store-compacted", version=self.version)
+
     def copy(self):
         """Returns a copy of all rows, for restore()."""
         return self.version, {name: dict(row) for name, row in self.rows.items()}
@@ -211,12 +225,21 @@
         limit = min(int(query.get("limit", "500")), 500)
         rows = [row for (table, part, key), row in sorted(self.rows.items())
                 if table == query["table"] and part == query.get("part", "") and key >= query.get("from", "")]
-        return 200, self.stamp({"rows": rows[:limit], "hasMore": len(rows) > limit})
+        page, size = [], 0
+        for row in rows[:limit]:
+            size += len(row["value"])
+            if page and size > MAX_PAGE_BYTES:
+                break
+            page.append(row)
+        return 200, self.stamp({"rows": page, "hasMore": len(rows) > len(page)})
 
     async def feed(self, query):
         after, end = int(query["after"]), time.monotonic() + int(query.get("waitMs", "0")) / 1000
         era = self.era
         while True:
+            if self.is_quiet:
+                await asyncio.sleep(0.02)
+                continue
             if after > self.version or after < self.oldest or era != self.era:
                 return 410, {}
             rows = [row for _, row in self.log if row["table"] == query["table"] and row["versionNumber"] > after]
@@ -428,6 +451,15 @@
         answer = await fetch(self.address, self.ports["readiness"], "/ebonycove/readiness")
         return answer is not None and answer[0] == 200
 
+    def memory_mb(self):
+        """The resident memory of the process; 0 if it has ended."""
+        try:
+            status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0.0
+        match = re.search(r"VmRSS:\s+(\d+) kB", status)
+        return int(match.group(1)) / 1024 if match else 0.0
+
     async def end(self):
         if self.process and self.process.returncode is None:
             self.process.kill()
