--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -117,6 +117,7 @@
         self.servers = []
         self.mode = {}
         self.connections = {}
+        self.silenced = set()
 
     async def listen(self, name, address):
         port = free_port(address)
@@ -127,10 +128,12 @@
         return f"{address}:{port}"
 
     def set_mode(self, name, mode):
-        """'up', or 'reset': connections of this VM are reset until it is up again."""
+        """'up'; 'reset': connections of this VM are reset; 'silent': its calls get no answer."""
         self.record.write("store-mode", vm=name, mode=mode)
         self.mode[name] = mode
-        if mode != "up":
+        if mode == "silent":
+            self.silenced |= self.connections[name]
+        if mode == "reset":
             for writer in list(self.connections[name]):
                 writer.transport.abort()
 
@@ -181,9 +184,11 @@
             self.changed.notify_all()
 
     async def serve(self, name, reader, writer):
-        if self.mode[name] != "up":
+        if self.mode[name] == "reset":
             writer.transport.abort()
             return
+        if self.mode[name] == "silent":
+            self.silenced.add(writer)
         self.connections[name].add(writer)
         try:
             while True:
@@ -193,9 +198,14 @@
                 body = await read_body(reader, head[1])
                 method, target, _ = head[0].split(" ", 2)
                 await asyncio.sleep(ANSWER_S)
+                if writer in self.silenced:
+                    continue
                 status, answer = await self.handle(name, method, target, body)
-                if self.mode[name] != "up":
+                if self.mode[name] == "reset":
                     break
+                # A connection on which an answer was lost delivers nothing further.
+                if writer in self.silenced:
+                    continue
                 data = json.dumps(answer).encode()
                 era = f"Store-Era: {self.era}\r\n" if self.era else ""
                 writer.write(f"HTTP/1.1 {status} Status\r\nContent-Type: application/json\r\n{era}"
@@ -205,6 +215,7 @@
             pass
         finally:
             self.connections[name].discard(writer)
+            self.silenced.discard(writer)
             writer.transport.abort()
 
     async def handle(self, name, method, target, body):
@@ -322,6 +333,14 @@
         await self.beat_once()
         self.record.write("upstream-draining", upstream=self.name)
 
+    async def leave_unannounced(self):
+        """Leaves without reporting it: its entry is removed, and it goes on serving."""
+        self.is_leaving = True
+        self.state = "removed"
+        self.beater.cancel()
+        await self.store.write("servers", self.name, None)
+        self.record.write("upstream-entry-removed", upstream=self.name)
+
     async def end(self):
         """Exits as after a planned shutdown: its entry is removed and its connections are closed."""
         self.record.write("upstream-exits", upstream=self.name, running=self.running)
@@ -329,7 +348,8 @@
         self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
-        await self.store.write("servers", self.name, None)
+        if self.state != "removed":
+            await self.store.write("servers", self.name, None)
 
     def close(self):
         self.beater.cancel()
