Move the reading of upstreams' notices out of RequestExchange

What an upstream says about itself in a response gets a class of its own, ResponseNotices, before more of it is read. No change of behaviour; the requests' path still calls it after each attempt.

--- a/src/libs/vm/requestexchange.cpp
+++ b/src/libs/vm/requestexchange.cpp
@@ -3,6 +3,7 @@
 #include "vm/fingerprinter.h"
 #include "vm/headerfields.h"
 #include "vm/jobfactory.h"
+#include "vm/responsenotices.h"
 #include "vm/upstreamprobe.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -264,7 +265,8 @@
           Attempt_->status() < FirstFailure &&
           valueOf(Attempt_->fields(), State_.Platform_.Headers_.Stamp_).empty())
         Result = AttemptResult::ConnectionLost;
-      recordNamedLimit(*Chosen.Upstream_, Result, Started);
+      ResponseNotices(State_).record(*Chosen.Upstream_, *Attempt_, Request_.Id_,
+                                     Result, Started);
       recordReachability(*Chosen.Upstream_, Result);
     }
     AsyncDispatcher_.finish(Placed, Result, State_.now() - Started);
@@ -337,30 +339,6 @@
                    State_.ColdLimiter_.countHigherRanked(Upstream))));
 }
 
-void RequestExchange::recordNamedLimit(traffic::UpstreamState &Upstream,
-                                       AttemptResult Result,
-                                       base::TimePoint Started) {
-  const bool HasResponse = Result == AttemptResult::Answered ||
-                           Result == AttemptResult::Failed ||
-                           Result == AttemptResult::Shed;
-  if (!HasResponse)
-    return;
-  if (Upstream.Limit_.isInForce())
-    State_.Metrics_.SendsToLimited_.add();
-  const auto Rate = parseDecimal(
-      valueOf(Attempt_->fields(), State_.Platform_.Headers_.RateLimit_));
-  // A failure may come from a part of the upstream that does not know of the
-  // limit, so that only a success shows its end.
-  if (!Rate && Result != AttemptResult::Answered)
-    return;
-  const traffic::NamedLimit Before = Upstream.Limit_;
-  traffic::Dispatcher::recordNamedLimit(Upstream, Rate, Started, State_.now());
-  if (!Before.differsInForce(Upstream.Limit_))
-    return;
-  State_.logNamedLimit(Upstream, "id", Request_.Id_);
-  State_.AreReportsDue_ = true;
-}
-
 void RequestExchange::recordReachability(const traffic::UpstreamState &Upstream,
                                          AttemptResult Result) {
   const base::TimePoint Now = State_.now();
--- a/src/libs/vm/requestexchange.h
+++ b/src/libs/vm/requestexchange.h
@@ -66,9 +66,6 @@
                                 const traffic::RouteSettings &Route);
   /// Logs and counts a send to an upstream that is cold.
   void recordColdSend(const traffic::UpstreamState &Upstream);
-  /// Records the request rate that the response named, or that it named none.
-  void recordNamedLimit(traffic::UpstreamState &Upstream,
-                        traffic::AttemptResult Result, base::TimePoint Started);
   /// Records what an attempt shows about the way to the upstreams.
   void recordReachability(const traffic::UpstreamState &Upstream,
                           traffic::AttemptResult Result);
