Log that an upstream says in a response that it leaves

The logs could not tell whether a VM that sends to a leaving upstream had been told so. Adds upstream-leaving with the request whose response said it, what the VM had read of the upstream in the store, and the age of that. Nothing is decided by it yet.

--- a/src/libs/traffic/upstreamstate.h
+++ b/src/libs/traffic/upstreamstate.h
@@ -46,6 +46,8 @@
   base::TimePoint EjectedUntil_{};
   /// Time at which the pace of a named limit has this VM's next request.
   base::TimePoint NextSend_{};
+  /// Whether a response has said that the upstream leaves.
+  bool HasSaidThatItLeaves_ = false;
   /// Rate that the upstream asks all VMs together not to exceed.
   NamedLimit Limit_;
 
--- a/src/libs/vm/headernames.h
+++ b/src/libs/vm/headernames.h
@@ -24,6 +24,8 @@
   std::string RateLimit_;
   /// Prefix of the key in the Authorization field.
   std::string KeyScheme_;
+  /// "1" in each response of an upstream that leaves.
+  std::string Leaving_;
 
   friend bool operator==(const HeaderNames &, const HeaderNames &) = default;
 };
--- a/src/libs/vm/responsenotices.cpp
+++ b/src/libs/vm/responsenotices.cpp
@@ -4,6 +4,7 @@
 
 namespace ebony::vm {
 
+using telemetry::EventLine;
 using traffic::AttemptResult;
 
 void ResponseNotices::record(traffic::UpstreamState &Upstream,
@@ -11,6 +12,33 @@
                              const std::string &RequestId, AttemptResult Result,
                              base::TimePoint Started) {
   recordNamedLimit(Upstream, Attempt, RequestId, Result, Started);
+  // Another upstream has sent a misdirected response, and a response whose head
+  // belongs to another request may be older than this one.
+  const bool IsOwnResponse =
+      Result != AttemptResult::Misdirected && Attempt.hasResponse() &&
+      valueOf(Attempt.fields(), State_.Platform_.Headers_.RequestId_) ==
+          RequestId;
+  if (IsOwnResponse)
+    recordLeaving(Upstream, Attempt, RequestId);
+}
+
+void ResponseNotices::recordLeaving(traffic::UpstreamState &Upstream,
+                                    const UpstreamAttempt &Attempt,
+                                    const std::string &RequestId) {
+  const bool IsLeaving =
+      valueOf(Attempt.fields(), State_.Platform_.Headers_.Leaving_) == "1";
+  if (!IsLeaving || Upstream.HasSaidThatItLeaves_)
+    return;
+  Upstream.HasSaidThatItLeaves_ = true;
+  State_.log(
+      EventLine("upstream-leaving")
+          .add("id", RequestId)
+          .add("upstream", Upstream.Entry_.Name_.text())
+          .add("started", Upstream.Entry_.StartedUnixMs_)
+          .add("entry", Upstream.Entry_.IsDraining_ ? "draining" : "ready")
+          .add("listed", Upstream.IsListed_ ? 1 : 0)
+          .add("store_news_ms",
+               State_.StoreNews_.age(State_.now()).count() / 1000));
 }
 
 void ResponseNotices::recordNamedLimit(traffic::UpstreamState &Upstream,
--- a/src/libs/vm/responsenotices.h
+++ b/src/libs/vm/responsenotices.h
@@ -18,6 +18,10 @@
               base::TimePoint Started);
 
 private:
+  /// Records whether the response said that the upstream leaves.
+  void recordLeaving(traffic::UpstreamState &Upstream,
+                     const UpstreamAttempt &Attempt,
+                     const std::string &RequestId);
   /// Records the request rate that the response named, or that it named none.
   void recordNamedLimit(traffic::UpstreamState &Upstream,
                         const UpstreamAttempt &Attempt,
--- a/tests/libs/vm/requestpathfixture.h
+++ b/tests/libs/vm/requestpathfixture.h
@@ -21,7 +21,7 @@
                                        const FakeRows &Rows) {
   PlatformBinding Binding;
   Binding.Headers_ = {"Id",    "Left",    "Object", "Expected", "Customer",
-                      "Stamp", "Not-Run", "Rate",   "Bearer "};
+                      "Stamp", "Not-Run", "Rate",   "Bearer ",  "Leaving"};
   Binding.OperatorTable_ = "operators";
   Binding.ConfigurationKey_ = "configuration";
   Binding.EvacuationPrefix_ = "evacuate/";
