Log that an upstream asks a VM for no requests for a time

A refused attempt was logged without the time that the upstream named in Retry-After, so that requests sent in spite of it could not be found in a log. Adds upstream-quiet. Nothing is decided by it yet.

--- a/src/libs/traffic/upstreamstate.h
+++ b/src/libs/traffic/upstreamstate.h
@@ -46,6 +46,8 @@
   base::TimePoint EjectedUntil_{};
   /// Time at which the pace of a named limit has this VM's next request.
   base::TimePoint NextSend_{};
+  /// Until when the upstream has asked this VM for no requests.
+  base::TimePoint QuietUntil_{};
   /// Whether a response has said that the upstream leaves.
   bool HasSaidThatItLeaves_ = false;
   /// Rate that the upstream asks all VMs together not to exceed.
--- a/src/libs/vm/responsenotices.cpp
+++ b/src/libs/vm/responsenotices.cpp
@@ -2,11 +2,23 @@
 
 #include "vm/headerfields.h"
 
+#include <algorithm>
+
 namespace ebony::vm {
 
 using telemetry::EventLine;
 using traffic::AttemptResult;
 
+namespace {
+
+// Longest time for which an upstream is believed to want no requests.
+constexpr double MaxQuietSeconds = 60;
+
+// Bytes of a header field that are logged.
+constexpr std::size_t MaxLoggedBytes = 32;
+
+} // namespace
+
 void ResponseNotices::record(traffic::UpstreamState &Upstream,
                              const UpstreamAttempt &Attempt,
                              const std::string &RequestId, AttemptResult Result,
@@ -18,8 +30,10 @@
       Result != AttemptResult::Misdirected && Attempt.hasResponse() &&
       valueOf(Attempt.fields(), State_.Platform_.Headers_.RequestId_) ==
           RequestId;
-  if (IsOwnResponse)
-    recordLeaving(Upstream, Attempt, RequestId);
+  if (!IsOwnResponse)
+    return;
+  recordLeaving(Upstream, Attempt, RequestId);
+  recordQuiet(Upstream, Attempt, RequestId);
 }
 
 void ResponseNotices::recordLeaving(traffic::UpstreamState &Upstream,
@@ -41,6 +55,34 @@
                State_.StoreNews_.age(State_.now()).count() / 1000));
 }
 
+void ResponseNotices::recordQuiet(traffic::UpstreamState &Upstream,
+                                  const UpstreamAttempt &Attempt,
+                                  const std::string &RequestId) {
+  constexpr unsigned Unavailable = 503;
+  if (Attempt.status() != Unavailable)
+    return;
+  const std::string_view Text = valueOf(Attempt.fields(), "Retry-After");
+  if (Text.empty())
+    return;
+  const auto Seconds = parseDecimal(Text);
+  const base::Duration Asked =
+      base::fromSeconds(std::min(Seconds.value_or(0), MaxQuietSeconds));
+  const base::TimePoint Now = State_.now();
+  // All requests under way at the upstream may get such a response, and one
+  // that asks for no time may come with each refusal.
+  const bool IsLogged = Asked > base::Duration::zero()
+                            ? Upstream.QuietUntil_ <= Now
+                            : Upstream.QuietUntil_ == base::TimePoint{};
+  Upstream.QuietUntil_ = std::max(Upstream.QuietUntil_, Now + Asked);
+  if (IsLogged)
+    State_.log(EventLine("upstream-quiet")
+                   .add("id", RequestId)
+                   .add("upstream", Upstream.Entry_.Name_.text())
+                   .add("asked", std::string(Text.substr(0, MaxLoggedBytes)))
+                   .add("for_ms", Asked.count() / 1000)
+                   .add("in_flight", Upstream.InFlight_));
+}
+
 void ResponseNotices::recordNamedLimit(traffic::UpstreamState &Upstream,
                                        const UpstreamAttempt &Attempt,
                                        const std::string &RequestId,
--- a/src/libs/vm/responsenotices.h
+++ b/src/libs/vm/responsenotices.h
@@ -22,6 +22,10 @@
   void recordLeaving(traffic::UpstreamState &Upstream,
                      const UpstreamAttempt &Attempt,
                      const std::string &RequestId);
+  /// Records for how long the response asked this VM for no requests.
+  void recordQuiet(traffic::UpstreamState &Upstream,
+                   const UpstreamAttempt &Attempt,
+                   const std::string &RequestId);
   /// Records the request rate that the response named, or that it named none.
   void recordNamedLimit(traffic::UpstreamState &Upstream,
                         const UpstreamAttempt &Attempt,
