Show that requests follow an answer that says that its upstream leaves

That a misdirected response, which another upstream has sent, and other values of the field say nothing holds today. The fixture's clock can be set ahead, so that the test does not wait.

--- a/tests/libs/vm/fakeupstream.h
+++ b/tests/libs/vm/fakeupstream.h
@@ -181,11 +181,11 @@
     case FakeBehaviour::TruncatedResponse:
       return Whole + "whole";
     case FakeBehaviour::Shed:
-      return "HTTP/1.1 503 Busy\r\nId: " + Id +
-             "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+      return "HTTP/1.1 503 Busy\r\nId: " + Id + "\r\n" + ExtraFields_ +
+             "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
     case FakeBehaviour::Misdirected:
-      return "HTTP/1.1 421 Misdirected\r\nId: " + Id +
-             "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+      return "HTTP/1.1 421 Misdirected\r\nId: " + Id + "\r\n" + ExtraFields_ +
+             "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
     default:
       return Whole + "whole answer";
     }
--- a/tests/libs/vm/requestpathfixture.h
+++ b/tests/libs/vm/requestpathfixture.h
@@ -1,9 +1,9 @@
 #ifndef EBONY_TESTS_VM_REQUESTPATHFIXTURE_H
 #define EBONY_TESTS_VM_REQUESTPATHFIXTURE_H
 
-#include "base/steadyclock.h"
 #include "libs/vm/fakestore.h"
 #include "libs/vm/fakeupstream.h"
+#include "libs/vm/shiftedclock.h"
 #include "vm/callersession.h"
 #include "vm/statesynchronizer.h"
 
@@ -67,13 +67,14 @@
   FakeUpstream FirstUpstream_{Context_};
   FakeUpstream SecondUpstream_{Context_};
   FakeRows Rows_;
-  base::SteadyClock Clock_;
+  ShiftedClock Clock_;
   std::unique_ptr<VmState> State_;
   std::unique_ptr<AsyncDispatcher> AsyncDispatcher_;
   std::unique_ptr<QuotaAdmission> Admission_;
   std::unique_ptr<StateSynchronizer> Synchronizer_;
   boost::asio::ip::tcp::acceptor Acceptor_{
       Context_, {boost::asio::ip::address_v4::loopback(), 0}};
+  int LastId_ = 0;
 
   RequestPathFixture() {
     Rows_["operators"] = {{"configuration", "", 1, false}};
@@ -161,6 +162,45 @@
     return Responses;
   }
 
+  /// Sends one request on a new connection. The status is 0 if no response
+  /// arrived.
+  asynckit::awaitable<TestResponse> call(std::string Target, int Object) {
+    const std::string Number = std::to_string(++LastId_);
+    const std::string Request = "GET " + Target +
+                                " HTTP/1.1\r\nHost: h\r\nId: c" + Number +
+                                "\r\nCookie: Object=" + std::to_string(Object) +
+                                "\r\nLeft: 5000\r\n\r\n";
+    TestResponse Response;
+    Response.result(boost::beast::http::status::unknown);
+    asynckit::error_code Error;
+    boost::asio::ip::tcp::socket Socket(Context_);
+    co_await Socket.async_connect(Acceptor_.local_endpoint(),
+                                  asynckit::into(Error));
+    co_await boost::asio::async_write(Socket, boost::asio::buffer(Request),
+                                      asynckit::into(Error));
+    boost::beast::flat_buffer Buffer;
+    co_await boost::beast::http::async_read(Socket, Buffer, Response,
+                                            asynckit::into(Error));
+    if (Error)
+      Response.result(boost::beast::http::status::unknown);
+    co_return Response;
+  }
+
+  void run(asynckit::awaitable<void> Test) {
+    boost::asio::co_spawn(
+        Context_,
+        [this, &Test]() -> asynckit::awaitable<void> {
+          co_await awaitReady();
+          co_await std::move(Test);
+          Context_.stop();
+        },
+        [](const std::exception_ptr &Error) {
+          if (Error)
+            std::rethrow_exception(Error);
+        });
+    Context_.run();
+  }
+
   std::size_t receivedRequests() const {
     return FirstUpstream_.requests().size() + SecondUpstream_.requests().size();
   }
