Decide in one place whether a request may be sent to an upstream

canRetry, findBest, predict and findUnplaceableReason of the dispatcher each spelled out listed, draining, ejected, cold and limited. The round-trip time in DispatcherSettings was used nowhere and is gone.

--- a/src/libs/traffic/dispatcher.cpp
+++ b/src/libs/traffic/dispatcher.cpp
@@ -62,7 +62,8 @@
                        UpstreamRateLimiter &RateLimiter,
                        DispatcherSettings Settings, base::RandomEngine Random)
     : Table_(Table), Order_(std::move(Order)), ColdLimiter_(ColdLimiter),
-      RateLimiter_(RateLimiter), Settings_(Settings), Random_(Random) {}
+      RateLimiter_(RateLimiter),
+      Gate_(ColdLimiter, RateLimiter, Settings.Cold_), Random_(Random) {}
 
 std::optional<Placement> Dispatcher::predictRefusal(Job &Request,
                                                     base::TimePoint Now) {
@@ -177,12 +178,12 @@
       scaled(Request.Deadline_ - Now, UsableTimeShare);
   for (std::size_t Rank = 0; Rank < Request.Order_.size(); ++Rank) {
     const UpstreamState &Upstream = *Request.Order_[Rank];
-    if (!Upstream.IsListed_ || Upstream.Entry_.IsDraining_ ||
-        Upstream.isEjected(Now) || Upstream.isCold(Now) ||
-        isBlockedByColdLimit(Upstream, Now) || Upstream.freeSlots() <= 0 ||
-        !mayBeSentNow(Upstream, Now) || Request.wasTried(Upstream.Entry_.Name_))
+    if (Request.wasTried(Upstream.Entry_.Name_) || Upstream.isCold(Now) ||
+        Upstream.freeSlots() <= 0 ||
+        !Gate_.permission(Upstream, SendStage::Place, Now).isNow())
       continue;
-    if (predict(Request, Rank, 0, Now).PredictedLatency_ <= TimeBudget)
+    if (predict(Request, Rank, 0, SendStage::Place, Now).PredictedLatency_ <=
+        TimeBudget)
       return true;
   }
   return false;
@@ -200,16 +201,17 @@
                         .usage(Table_, Request.Service_, Request.ObjectHash_,
                                Request.HomeRegions_, Now)
                         .share());
-  std::optional<Candidate> Best = findBest(Request, Price, Now, false);
+  std::optional<Candidate> Best =
+      findBest(Request, Price, Now, SendStage::Place);
   if (!Best || isHeldUpByLimit(Request, *Best, Now)) {
     Request.Order_ = Order_.order(Table_, Request.Service_, Request.ObjectHash_,
                                   Request.HomeRegions_, SIZE_MAX);
-    Best = findBest(Request, Price, Now, false);
+    Best = findBest(Request, Price, Now, SendStage::Place);
   }
   if (!Best)
-    Best = findBest(Request, Price, Now, true);
+    Best = findBest(Request, Price, Now, SendStage::PlaceAsLastResort);
   // Another VM, which the caller may reach at once, may be in touch.
-  if (!Best && IsIsolated_)
+  if (!Best && Gate_.isIsolated())
     return refuse(Request, base::Duration::zero(), "isolated", Now);
   if (!Best)
     return refuse(Request, TimeLeft, findUnplaceableReason(Request, Now), Now);
@@ -240,29 +242,28 @@
 
 const char *Dispatcher::findUnplaceableReason(const Job &Request,
                                               base::TimePoint Now) const {
-  const bool IsLimited =
-      std::any_of(Request.Order_.begin(), Request.Order_.end(),
-                  [&](const UpstreamPtr &Upstream) {
-                    return !Request.wasTried(Upstream->Entry_.Name_) &&
-                           !RateLimiter_.sendDelay(*Upstream, 0, Now);
-                  });
+  const bool IsLimited = std::any_of(
+      Request.Order_.begin(), Request.Order_.end(),
+      [&](const UpstreamPtr &Upstream) {
+        return !Request.wasTried(Upstream->Entry_.Name_) &&
+               Gate_.permission(*Upstream, SendStage::PlaceAsLastResort, Now)
+                       .Bar_ == SendBar::NamedLimit;
+      });
   return IsLimited ? "upstream-limit" : "no-upstream";
 }
 
 std::optional<Dispatcher::Candidate> Dispatcher::findBest(const Job &Request,
                                                           double Price,
                                                           base::TimePoint Now,
-                                                          bool AllowEjected) {
+                                                          SendStage Stage) {
   std::optional<Candidate> Best;
   std::optional<Candidate> Cheap;
   for (std::size_t Rank = 0; Rank < Request.Order_.size(); ++Rank) {
     const UpstreamState &Upstream = *Request.Order_[Rank];
     if (Request.wasTried(Upstream.Entry_.Name_) ||
-        isBlockedByColdLimit(Upstream, Now) ||
-        !RateLimiter_.sendDelay(Upstream, 0, Now) ||
-        (!AllowEjected && Upstream.isEjected(Now)))
+        Gate_.permission(Upstream, Stage, Now).isNever())
       continue;
-    Candidate Alternative = predict(Request, Rank, Price, Now);
+    Candidate Alternative = predict(Request, Rank, Price, Stage, Now);
     const bool IsTimely = !findRefusalReason(Request, Alternative, Now);
     if (Rank == 0 && IsTimely && Alternative.HasFreeSlot_ &&
         Upstream.Limit_.isTrialDue(Now))
@@ -295,7 +296,8 @@
 }
 
 Dispatcher::Candidate Dispatcher::predict(const Job &Request, std::size_t Rank,
-                                          double Price, base::TimePoint Now) {
+                                          double Price, SendStage Stage,
+                                          base::TimePoint Now) {
   Candidate Result;
   Result.Upstream_ = Request.Order_[Rank];
   Result.Rank_ = Rank;
@@ -306,12 +308,10 @@
   const int Slots = std::max(Upstream.Entry_.Slots_, 1);
   const int WaitingAhead = countWaitingAhead(Request, Upstream);
   const int Ahead = Upstream.load() + WaitingAhead;
-  const base::Duration LimitDelay =
-      RateLimiter_.sendDelay(Upstream, WaitingAhead, Now)
-          .value_or(base::Duration::zero());
-  const bool HasTurn = LimitDelay == base::Duration::zero();
-  Result.HasFreeSlot_ = Ahead < Slots && HasTurn;
-  Result.PredictedLatency_ = ProcessingTime + LimitDelay;
+  const SendPermission Permission =
+      Gate_.permission(Upstream, Stage, Now, WaitingAhead);
+  Result.HasFreeSlot_ = Ahead < Slots && Permission.isNow();
+  Result.PredictedLatency_ = ProcessingTime + Permission.Wait_;
   if (Ahead >= Slots)
     Result.PredictedLatency_ +=
         scaled(ProcessingTime, static_cast<double>(Ahead - Slots + 1) / Slots);
@@ -329,26 +329,6 @@
   return Result;
 }
 
-bool Dispatcher::mayBeSentNow(const UpstreamState &Upstream,
-                              base::TimePoint Now) const {
-  const auto Delay = RateLimiter_.sendDelay(Upstream, 0, Now);
-  return Delay && *Delay == base::Duration::zero();
-}
-
-bool Dispatcher::isBlockedByColdLimit(const UpstreamState &Upstream,
-                                      base::TimePoint Now) const {
-  if (!Rules_ || !(IsIsolated_ || Upstream.isCold(Now)))
-    return false;
-  const ServiceSettings *Service =
-      Rules_->findService(Upstream.Entry_.Service_);
-  if (!Service)
-    return false;
-  const double FleetLimit =
-      Service->ColdRatePerSecond_ * Settings_.ColdOverrun_ +
-      Settings_.ColdSlack_;
-  return !ColdLimiter_.allowsIfCold(Upstream, FleetLimit, Now);
-}
-
 // Returns the number of requests that are queued before this one and prefer
 // the same upstream.
 int Dispatcher::countWaitingAhead(const Job &Request,
--- a/src/libs/traffic/dispatcher.h
+++ b/src/libs/traffic/dispatcher.h
@@ -4,14 +4,12 @@
 #include "base/randomengine.h"
 #include "traffic/attemptresult.h"
 #include "traffic/cacheestimator.h"
-#include "traffic/coldupstreamlimiter.h"
 #include "traffic/job.h"
 #include "traffic/placement.h"
 #include "traffic/placementorder.h"
 #include "traffic/returnadvice.h"
-#include "traffic/trafficrules.h"
+#include "traffic/sendgate.h"
 #include "traffic/upstreamhealth.h"
-#include "traffic/upstreamratelimiter.h"
 #include "traffic/worktimes.h"
 
 #include <map>
@@ -24,12 +22,7 @@
 
 /// Parameters of a Dispatcher.
 struct DispatcherSettings {
-  /// All VMs together may send to a cold upstream its configured rate times
-  /// ColdOverrun_ plus ColdSlack_ requests per second.
-  double ColdOverrun_ = 1.5;
-  double ColdSlack_ = 5;
-  /// Round-trip time to an upstream in another region.
-  base::Duration FarRoundTrip_ = std::chrono::milliseconds(50);
+  ColdBound Cold_;
 
   friend bool operator==(const DispatcherSettings &,
                          const DispatcherSettings &) = default;
@@ -60,11 +53,11 @@
              DispatcherSettings Settings, base::RandomEngine Random);
 
   /// Sets the configuration, which has the rate limits of cold upstreams.
-  void setRules(TrafficRulesPtr Rules) { Rules_ = std::move(Rules); }
+  void setRules(TrafficRulesPtr Rules) { Gate_.setRules(std::move(Rules)); }
 
   /// Sets whether this VM is cut off from all news of upstreams, so that any of
   /// them may be cold.
-  void setIsolated(bool IsIsolated) { IsIsolated_ = IsIsolated; }
+  void setIsolated(bool IsIsolated) { Gate_.setIsolated(IsIsolated); }
 
   /// Returns the refusal if a new request would be refused now, else
   /// std::nullopt. Called before the request is charged to its customer's
@@ -103,6 +96,9 @@
   /// predicted to respond in time.
   bool canRetry(const Job &Request, base::TimePoint Now);
 
+  /// Returns what decides whether a request may be sent to an upstream.
+  const SendGate &gate() const { return Gate_; }
+
   std::size_t waitingCount() const { return Waiting_.size(); }
 
 private:
@@ -125,18 +121,13 @@
   const char *findUnplaceableReason(const Job &Request,
                                     base::TimePoint Now) const;
   std::optional<Candidate> findBest(const Job &Request, double Price,
-                                    base::TimePoint Now, bool AllowEjected);
+                                    base::TimePoint Now, SendStage Stage);
   Candidate predict(const Job &Request, std::size_t Rank, double Price,
-                    base::TimePoint Now);
+                    SendStage Stage, base::TimePoint Now);
   /// Returns why a request is refused rather than sent to \p Best, or null.
   static const char *findRefusalReason(const Job &Request,
                                        const Candidate &Best,
                                        base::TimePoint Now);
-  /// Returns whether the rate that \p Upstream has named lets this VM send a
-  /// request now.
-  bool mayBeSentNow(const UpstreamState &Upstream, base::TimePoint Now) const;
-  bool isBlockedByColdLimit(const UpstreamState &Upstream,
-                            base::TimePoint Now) const;
   int countWaitingAhead(const Job &Request,
                         const UpstreamState &Upstream) const;
   static void recordLatencyFactor(UpstreamState &Upstream, double Previous,
@@ -155,11 +146,9 @@
   PlacementOrder Order_;
   ColdUpstreamLimiter &ColdLimiter_;
   UpstreamRateLimiter &RateLimiter_;
-  DispatcherSettings Settings_;
+  SendGate Gate_;
   base::RandomEngine Random_;
   std::map<base::ServiceName, ReturnAdvice> ReturnAdvice_;
-  TrafficRulesPtr Rules_;
-  bool IsIsolated_ = false;
   UpstreamHealth Health_;
   std::map<std::pair<std::string, base::ServiceName>, WorkTimes> WorkTimes_;
   std::map<base::ServiceName, CacheEstimator> Caches_;
--- a/src/libs/traffic/servicesettings.h
+++ b/src/libs/traffic/servicesettings.h
@@ -11,7 +11,7 @@
   base::ServiceName Name_;
   /// Time for which an upstream stays cold after its start.
   base::Duration ColdDuration_{};
-  /// Configured requests per second for a cold upstream. DispatcherSettings
+  /// Configured requests per second for a cold upstream. ColdBound
   /// tells by how much they may be exceeded.
   double ColdRatePerSecond_ = 0;
 
