Send nothing more to an upstream that has said that it leaves

Callers whose requests must not be repeated got 502 when a leaving upstream exited under them: a VM without news of the store went on sending there for as long as it had none.

A notice is knowledge about a run of an upstream (name and start). The table keeps it apart from entries, so that no entry of that run, nor its removal and return, lifts it; another run starts without it. SendGate bars the upstream for new, queued and repeated requests, and asks once more when a connection had to be opened first: such a request is withheld and placed again.

--- a/src/libs/traffic/attemptresult.h
+++ b/src/libs/traffic/attemptresult.h
@@ -15,6 +15,8 @@
   Misdirected,
   /// No connection could be made, so nothing was sent.
   Unreachable,
+  /// The VM may no longer send to the upstream, so nothing was sent.
+  Withheld,
   /// The connection ended before a complete response; the request may have
   /// been executed.
   ConnectionLost,
@@ -24,6 +26,12 @@
   CallerLeft,
 };
 
+/// Returns whether the attempt ended before anything was sent.
+constexpr bool wasNothingSent(AttemptResult Result) {
+  return Result == AttemptResult::Unreachable ||
+         Result == AttemptResult::Withheld;
+}
+
 } // namespace ebony::traffic
 
 #endif
--- a/src/libs/traffic/attempttally.cpp
+++ b/src/libs/traffic/attempttally.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-// Number of unreachable upstreams after which a request fails. Nothing was
-// sent to them, so they are not charged to the retry budget.
-constexpr int MaxUnreachable = 3;
+// Number of attempts without anything sent after which a request fails. They
+// are not charged to the retry budget.
+constexpr int MaxUnsent = 3;
 
 bool mayHaveExecuted(AttemptResult Result) {
   return Result == AttemptResult::ConnectionLost ||
@@ -18,8 +18,8 @@
 } // namespace
 
 void AttemptTally::recordResult(AttemptResult Result) {
-  if (Result == AttemptResult::Unreachable)
-    ++UnreachableCount_;
+  if (wasNothingSent(Result))
+    ++UnsentCount_;
   else
     ++Attempts_;
   MayHaveExecuted_ = MayHaveExecuted_ || mayHaveExecuted(Result);
@@ -28,8 +28,8 @@
 bool AttemptTally::mayRetry(const Job &Request, const RouteSettings &Route,
                             AttemptResult Result, bool HasUnbufferedBody,
                             base::TimePoint Now) {
-  if (Result == AttemptResult::Unreachable)
-    return UnreachableCount_ < MaxUnreachable;
+  if (wasNothingSent(Result))
+    return UnsentCount_ < MaxUnsent;
   const bool WasNotExecuted =
       Result == AttemptResult::Shed || Result == AttemptResult::Misdirected;
   if (!WasNotExecuted && Request.RetryPolicy_ != RetryPolicy::Idempotent)
--- a/src/libs/traffic/attempttally.h
+++ b/src/libs/traffic/attempttally.h
@@ -25,7 +25,7 @@
   void recordResult(AttemptResult Result);
 
   /// Returns whether the request may be retried after \p Result. A retry is
-  /// charged to the budget, except after an upstream that was unreachable.
+  /// charged to the budget, except if nothing was sent.
   bool mayRetry(const Job &Request, const RouteSettings &Route,
                 AttemptResult Result, bool HasUnbufferedBody,
                 base::TimePoint Now);
@@ -49,7 +49,7 @@
   RetryBudget &Budget_;
   Dispatcher &Dispatcher_;
   int Attempts_ = 0;
-  int UnreachableCount_ = 0;
+  int UnsentCount_ = 0;
   bool MayHaveExecuted_ = false;
   /// Whether the next attempt has already been charged to the budget.
   bool IsRetryReserved_ = false;
--- a/src/libs/traffic/sendgate.cpp
+++ b/src/libs/traffic/sendgate.cpp
@@ -45,7 +45,7 @@
 
 base::Duration SendGate::leavingWait(const UpstreamState &Upstream,
                                      base::TimePoint, int) const {
-  return Upstream.Entry_.IsDraining_ ? SendPermission::Never : NoWait;
+  return Upstream.isLeaving() ? SendPermission::Never : NoWait;
 }
 
 base::Duration SendGate::coldLimitWait(const UpstreamState &Upstream,
--- a/src/libs/traffic/upstreamhealth.cpp
+++ b/src/libs/traffic/upstreamhealth.cpp
@@ -28,6 +28,7 @@
   case AttemptResult::Answered:
     return {};
   case AttemptResult::CallerLeft:
+  case AttemptResult::Withheld:
     return {false, EjectAfter, true};
   case AttemptResult::Unreachable:
     return {true, EjectAfterUnreachable, false};
--- a/src/libs/traffic/upstreamstate.h
+++ b/src/libs/traffic/upstreamstate.h
@@ -48,7 +48,8 @@
   base::TimePoint NextSend_{};
   /// Until when the upstream has asked this VM for no requests.
   base::TimePoint QuietUntil_{};
-  /// Whether a response has said that the upstream leaves.
+  /// Whether a response of this run has said that the upstream leaves. A run
+  /// that leaves does not come back.
   bool HasSaidThatItLeaves_ = false;
   /// Rate that the upstream asks all VMs together not to exceed.
   NamedLimit Limit_;
@@ -67,6 +68,7 @@
         base::mixBits(static_cast<std::uint64_t>(Entry_.StartedUnixMs_))));
   }
 
+  bool isLeaving() const { return Entry_.IsDraining_ || HasSaidThatItLeaves_; }
   int load() const { return InFlight_ + InFlightElsewhere_; }
   int freeSlots() const { return Entry_.Slots_ - load(); }
   bool isCold(base::TimePoint Now) const {
--- a/src/libs/traffic/upstreamtable.cpp
+++ b/src/libs/traffic/upstreamtable.cpp
@@ -11,6 +11,11 @@
 // Most upstreams in one report; those that stay cold for longest go first.
 constexpr std::size_t MaxReportedCold = 128;
 
+// Time for which a run that leaves is remembered once it is not listed; longer
+// than an upstream serves after it has announced that it leaves, and than the
+// store may take to show an older entry of it.
+constexpr base::Duration LeavingRunMemory = std::chrono::minutes(10);
+
 bool isOtherProcess(const UpstreamEntry &Old, const UpstreamEntry &New) {
   return Old.StartedUnixMs_ != New.StartedUnixMs_ ||
          Old.Address_ != New.Address_ || Old.Port_ != New.Port_ ||
@@ -45,6 +50,7 @@
   if (ColdTime > base::Duration::zero())
     Upstream->markCold(Now + ColdTime, IsFresh);
   Upstream->Entry_ = Entry;
+  Upstream->HasSaidThatItLeaves_ = LeavingRuns_.contains(Upstream->runTag());
   rebuildGroups();
   return true;
 }
@@ -72,6 +78,7 @@
 }
 
 void UpstreamTable::expire(base::TimePoint Now) {
+  forgetLeavingRuns(Now);
   if (RemovedInGrace_.empty() || Now < GraceUntil_)
     return;
   for (const base::UpstreamName &Name : RemovedInGrace_)
@@ -80,6 +87,29 @@
   rebuildGroups();
 }
 
+bool UpstreamTable::recordLeaving(NameTag Run, base::TimePoint Now) {
+  if (!LeavingRuns_.insert_or_assign(Run, Now).second)
+    return false;
+  for (const auto &[Name, State] : Upstreams_)
+    if (State->runTag() == Run)
+      State->HasSaidThatItLeaves_ = true;
+  rebuildGroups();
+  return true;
+}
+
+void UpstreamTable::forgetLeavingRuns(base::TimePoint Now) {
+  if (LeavingRuns_.empty())
+    return;
+  for (const auto &[Name, State] : Upstreams_) {
+    const auto Run = LeavingRuns_.find(State->runTag());
+    if (Run != LeavingRuns_.end())
+      Run->second = Now;
+  }
+  std::erase_if(LeavingRuns_, [Now](const auto &Run) {
+    return Now - Run.second > LeavingRunMemory;
+  });
+}
+
 void UpstreamTable::setEvacuated(const std::set<base::ZoneName> &Zones,
                                  base::Duration ColdDuration,
                                  base::TimePoint Now, bool IsFresh) {
@@ -200,8 +230,7 @@
 void UpstreamTable::rebuildGroups() {
   Groups_.clear();
   for (const auto &[Name, State] : Upstreams_) {
-    if (State->Entry_.IsDraining_ ||
-        EvacuatedZones_.contains(State->Entry_.Zone_))
+    if (State->isLeaving() || EvacuatedZones_.contains(State->Entry_.Zone_))
       continue;
     Group &ServiceGroup = Groups_[State->Entry_.Service_];
     ServiceGroup.Usable_.push_back(State);
--- a/src/libs/traffic/upstreamtable.h
+++ b/src/libs/traffic/upstreamtable.h
@@ -45,7 +45,7 @@
   }
 
   /// Removes the upstreams whose removal the grace period delayed, once that
-  /// has ended.
+  /// has ended, and forgets leaving runs that ended long ago.
   void expire(base::TimePoint Now);
 
   /// Sets the zones that must not get new requests. Upstreams of a zone that is
@@ -56,7 +56,12 @@
                     base::Duration ColdDuration, base::TimePoint Now,
                     bool IsFresh = true);
 
-  /// Returns the upstreams of a service that are neither draining nor in an
+  /// Records that the run \p Run of an upstream has said in a response that it
+  /// leaves. No entry of that run makes it usable again. Returns false if that
+  /// is known.
+  bool recordLeaving(NameTag Run, base::TimePoint Now);
+
+  /// Returns the upstreams of a service that neither leave nor are in an
   /// evacuated zone.
   const std::vector<UpstreamPtr> &
   usable(const base::ServiceName &Service) const;
@@ -106,6 +111,7 @@
 
   void eraseEntry(const base::UpstreamName &Name);
   void rebuildGroups();
+  void forgetLeavingRuns(base::TimePoint Now);
 
   std::map<base::ZoneName, base::RegionName> Zones_;
   base::Duration GracePeriod_;
@@ -115,6 +121,9 @@
   /// Upstreams to remove when the grace period ends.
   std::set<base::UpstreamName> RemovedInGrace_;
   std::set<base::ZoneName> EvacuatedZones_;
+  /// Runs that have said that they leave, with the last time at which they were
+  /// known to be listed. Entries may go and come back while a run leaves.
+  std::map<NameTag, base::TimePoint> LeavingRuns_;
 };
 
 } // namespace ebony::traffic
--- a/src/libs/vm/requestexchange.cpp
+++ b/src/libs/vm/requestexchange.cpp
@@ -54,9 +54,10 @@
 }
 
 const char *toText(AttemptResult Result) {
-  static constexpr std::array<const char *, 8> Names = {
-      "answered",    "upstream-failed", "upstream-shed", "misdirected",
-      "unreachable", "answer-lost",     "silent",        "abandoned"};
+  static constexpr std::array<const char *, 9> Names = {
+      "answered",    "upstream-failed", "upstream-shed",
+      "misdirected", "unreachable",     "withheld",
+      "answer-lost", "silent",          "abandoned"};
   return Names.at(static_cast<std::size_t>(Result));
 }
 
@@ -284,13 +285,13 @@
                        asio::detached);
     }
     // A request that was not sent counts as failed only if no VM takes it over.
-    if (Result != AttemptResult::Unreachable &&
+    if (!traffic::wasNothingSent(Result) &&
         settleAttempt(*Job, Route, Result, Started))
       co_return;
     const bool IsRelayed = co_await relay(Job->HomeRegions_, Job->Deadline_);
     if (IsRelayed)
       co_return;
-    if (Result == AttemptResult::Unreachable &&
+    if (traffic::wasNothingSent(Result) &&
         settleAttempt(*Job, Route, Result, Started))
       co_return;
   }
@@ -424,7 +425,7 @@
            toText(Result), scaled(Route.LatencyObjective_, RetryAfterFraction));
     return true;
   }
-  if (Result != AttemptResult::Unreachable)
+  if (!traffic::wasNothingSent(Result))
     State_.Metrics_.Retries_.add();
   State_.log(EventLine("attempt-failed")
                  .add("id", Request_.Id_)
@@ -459,6 +460,11 @@
                                  State_.now());
     };
   }
+  Options.MaySend_ = [this, Upstream = Chosen.Placement_.Upstream_] {
+    return State_.Dispatcher_.gate()
+        .permission(*Upstream, traffic::SendStage::Send, State_.now())
+        .isNow();
+  };
   Options.ConnectTimeout_ = ConnectTimeout;
   Options.MaxIdle_ = RequestJob.RetryPolicy_ == RetryPolicy::Idempotent
                          ? base::Duration::max()
--- a/src/libs/vm/responsenotices.cpp
+++ b/src/libs/vm/responsenotices.cpp
@@ -41,9 +41,13 @@
                                     const std::string &RequestId) {
   const bool IsLeaving =
       valueOf(Attempt.fields(), State_.Platform_.Headers_.Leaving_) == "1";
-  if (!IsLeaving || Upstream.HasSaidThatItLeaves_)
+  if (!IsLeaving)
     return;
+  // The upstream's state may be one that the table no longer holds.
   Upstream.HasSaidThatItLeaves_ = true;
+  if (!State_.Upstreams_.recordLeaving(Upstream.runTag(), State_.now()))
+    return;
+  State_.Metrics_.LeavingUpstreams_.add();
   State_.log(
       EventLine("upstream-leaving")
           .add("id", RequestId)
--- a/src/libs/vm/upstreamattempt.cpp
+++ b/src/libs/vm/upstreamattempt.cpp
@@ -87,6 +87,9 @@
   if (!IsConnected)
     co_return IsAbandoned_ ? AttemptResult::CallerLeft
                            : AttemptResult::Unreachable;
+  // What is known of the upstream may have changed while it was connected to.
+  if (HasOpenedConnection_ && Options_.MaySend_ && !Options_.MaySend_())
+    co_return AttemptResult::Withheld;
   armTimer();
   const bool IsChunked = Request.HasMoreBody_ && Request.BodyLength_ < 0;
   std::string Head = encodeHead(Request, IsChunked);
--- a/src/libs/vm/upstreamattempt.h
+++ b/src/libs/vm/upstreamattempt.h
@@ -40,6 +40,9 @@
   base::TimePoint GiveUpAfter_{};
   /// Returns whether another attempt may follow; called once, at GiveUpAfter_.
   std::function<bool()> MayGiveUp_;
+  /// Returns whether the request may still be sent; called when a connection
+  /// has been opened. Empty if it may.
+  std::function<bool()> MaySend_;
   /// Time left, as sent to the upstream.
   base::Duration TimeLeft_{};
   /// Timeout for opening a connection.
--- a/src/libs/vm/vmmetrics.cpp
+++ b/src/libs/vm/vmmetrics.cpp
@@ -43,6 +43,9 @@
       SendsToLimited_(
           Registry_.counter("ebony_sends_to_limited_upstreams_total",
                             "Requests sent to upstreams that name a limit.")),
+      LeavingUpstreams_(Registry_.counter(
+          "ebony_leaving_upstreams_total",
+          "Upstreams that have said in a response that they leave.")),
       ColdUpstreams_(Registry_.counter("ebony_cold_upstreams",
                                        "Upstreams taken for cold.", "", Gauge)),
       SendsToCold_(Registry_.counter("ebony_sends_to_cold_upstreams_total",
--- a/src/libs/vm/vmmetrics.h
+++ b/src/libs/vm/vmmetrics.h
@@ -33,6 +33,7 @@
   telemetry::Counter &Upstreams_;
   telemetry::Counter &LimitedUpstreams_;
   telemetry::Counter &SendsToLimited_;
+  telemetry::Counter &LeavingUpstreams_;
   telemetry::Counter &ColdUpstreams_;
   telemetry::Counter &SendsToCold_;
   telemetry::Counter &IsIsolated_;
--- a/tests/libs/traffic/upstreamtabletest.cpp
+++ b/tests/libs/traffic/upstreamtabletest.cpp
@@ -74,4 +74,54 @@
   BOOST_TEST(Table.usable(Status).size() == 1U);
 }
 
+// Incident leaving-upstream: what a response has said outlasts all that the
+// store shows of the same run.
+BOOST_AUTO_TEST_CASE(noEntryLiftsALeavingNotice) {
+  UpstreamTable Table = table();
+  UpstreamEntry Entry = upstream("u1", "east-a");
+  Table.put(Entry, at(0s));
+  const NameTag Run = Table.find(Entry.Name_)->runTag();
+  BOOST_TEST(Table.recordLeaving(Run, at(1s)));
+  BOOST_TEST(!Table.recordLeaving(Run, at(1s)));
+  BOOST_TEST(Table.usable(Status).empty());
+  Entry.Slots_ = 5;
+  Table.put(Entry, at(2s));
+  BOOST_TEST(Table.usable(Status).empty());
+  Table.remove(Entry.Name_, at(3s));
+  Table.expire(at(4s));
+  Table.put(Entry, at(5s));
+  BOOST_TEST(Table.usable(Status).empty());
+  Entry.Address_ = "10.0.0.2";
+  Table.put(Entry, at(6s));
+  BOOST_TEST(Table.usable(Status).empty());
+}
+
+BOOST_AUTO_TEST_CASE(leavingNoticeHoldsForOneRun) {
+  UpstreamTable Table = table();
+  UpstreamEntry Entry = upstream("u1", "east-a");
+  Table.put(Entry, at(0s));
+  const UpstreamPtr Old = Table.find(Entry.Name_);
+  Entry.StartedUnixMs_ = 2;
+  Table.put(Entry, at(1s));
+  // A response of the earlier run arrives late.
+  BOOST_TEST(Table.recordLeaving(Old->runTag(), at(1s)));
+  BOOST_TEST(Table.usable(Status).size() == 1U);
+  Table.recordLeaving(Table.find(Entry.Name_)->runTag(), at(2s));
+  Entry.StartedUnixMs_ = 3;
+  Table.put(Entry, at(3s));
+  BOOST_TEST(Table.usable(Status).size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(noticeIsKeptWhileTheRunIsListed) {
+  UpstreamTable Table = table();
+  UpstreamEntry Entry = upstream("u1", "east-a");
+  Table.put(Entry, at(0s));
+  Table.recordLeaving(Table.find(Entry.Name_)->runTag(), at(0s));
+  for (base::Duration Time = 0s; Time < 30min; Time += 1min)
+    Table.expire(at(Time));
+  Entry.Slots_ = 5;
+  Table.put(Entry, at(30min));
+  BOOST_TEST(Table.usable(Status).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libs/vm/leavingupstreamsendtest.cpp
+++ b/tests/libs/vm/leavingupstreamsendtest.cpp
@@ -48,6 +48,19 @@
     return State_->Upstreams_.usable(base::ServiceName("s")).size();
   }
 
+  /// Records that both upstreams leave as soon as a request is placed.
+  asynckit::awaitable<void> recordLeavingOnPlacement() {
+    for (;;) {
+      for (const auto &[Name, Upstream] : State_->Upstreams_.all())
+        if (Upstream->InFlight_ > 0) {
+          for (const auto &[Other, Leaving] : State_->Upstreams_.all())
+            State_->Upstreams_.recordLeaving(Leaving->runTag(), Clock_.now());
+          co_return;
+        }
+      co_await boost::asio::post(Context_, boost::asio::use_awaitable);
+    }
+  }
+
   asynckit::awaitable<void> callObjects(int From, int To) {
     for (int Object = From; Object < To; ++Object) {
       const TestResponse Response = co_await call("/read/a", Object);
@@ -85,4 +98,17 @@
   BOOST_TEST(countLateArrivals() > 0U);
 }
 
+// The notice arrives while the connection for a request is opened.
+BOOST_AUTO_TEST_CASE(requestIsWithheldWhenItsConnectionOpensTooLate) {
+  unsigned Status = 0;
+  run([](LeavingFixture &Fixture,
+         unsigned &Result) -> asynckit::awaitable<void> {
+    boost::asio::co_spawn(Fixture.Context_, Fixture.recordLeavingOnPlacement(),
+                          boost::asio::detached);
+    Result = (co_await Fixture.call("/read/a", 1)).result_int();
+  }(*this, Status));
+  BOOST_TEST(Status == 503U);
+  BOOST_TEST(receivedRequests() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
