Keep requests away from an upstream for the time that it asks for

An upstream in trouble that answered 503 with Retry-After went on getting requests, and callers were refused by it one after another.

Cause: the field was read nowhere (hypothesis 1); ejection, which stood in for it, is shorter, and the fall-back for requests without another upstream passes over it (hypothesis 2).

The quiet time is a rule of SendGate, so new, queued, repeated and placed requests keep it, also as a last resort. It is a wait of known length: a request that can still be served waits for its end, others are refused at once with the reason upstream-quiet and a Retry-After from the same forecast. Afterwards one request at a time is sent until a response shows that the upstream takes them again. It belongs to the run of the upstream and outlasts its entry.

--- a/src/libs/traffic/dispatcher.cpp
+++ b/src/libs/traffic/dispatcher.cpp
@@ -203,7 +203,7 @@
                         .share());
   std::optional<Candidate> Best =
       findBest(Request, Price, Now, SendStage::Place);
-  if (!Best || isHeldUpByLimit(Request, *Best, Now)) {
+  if (!Best || isHeldUp(Request, *Best, Now)) {
     Request.Order_ = Order_.order(Table_, Request.Service_, Request.ObjectHash_,
                                   Request.HomeRegions_, SIZE_MAX);
     Best = findBest(Request, Price, Now, SendStage::Place);
@@ -216,7 +216,9 @@
   if (!Best)
     return refuse(Request, TimeLeft, findUnplaceableReason(Request, Now), Now);
   if (const char *Reason = findRefusalReason(Request, *Best, Now))
-    return refuse(Request, Best->PredictedLatency_, Reason, Now);
+    return refuse(Request, Best->PredictedLatency_,
+                  Best->Bar_ == SendBar::Quiet ? "upstream-quiet" : Reason,
+                  Now);
   Placement Result;
   Result.PredictedLatency_ = Best->PredictedLatency_;
   Result.Rank_ = Best->Rank_;
@@ -231,12 +233,13 @@
   return Result;
 }
 
-bool Dispatcher::isHeldUpByLimit(const Job &Request, const Candidate &Best,
-                                 base::TimePoint Now) const {
+bool Dispatcher::isHeldUp(const Job &Request, const Candidate &Best,
+                          base::TimePoint Now) const {
   return findRefusalReason(Request, Best, Now) &&
          std::any_of(Request.Order_.begin(), Request.Order_.end(),
                      [Now](const UpstreamPtr &Upstream) {
-                       return Upstream->Limit_.rateAt(Now).has_value();
+                       return Upstream->Limit_.rateAt(Now).has_value() ||
+                              Upstream->isQuiet(Now) || Upstream->NeedsTrial_;
                      });
 }
 
@@ -310,6 +313,7 @@
   const int Ahead = Upstream.load() + WaitingAhead;
   const SendPermission Permission =
       Gate_.permission(Upstream, Stage, Now, WaitingAhead);
+  Result.Bar_ = Permission.Bar_;
   Result.HasFreeSlot_ = Ahead < Slots && Permission.isNow();
   Result.PredictedLatency_ = ProcessingTime + Permission.Wait_;
   if (Ahead >= Slots)
--- a/src/libs/traffic/dispatcher.h
+++ b/src/libs/traffic/dispatcher.h
@@ -110,13 +110,16 @@
     /// cached object.
     base::Duration Cost_{};
     bool HasFreeSlot_ = false;
+    /// What delays the request at this upstream.
+    SendBar Bar_ = SendBar::None;
   };
 
   Placement decide(Job &Request, base::TimePoint Now);
   /// Returns whether a request would be refused though upstreams beyond those
-  /// of its order may be free: some of its order have named a limit.
-  bool isHeldUpByLimit(const Job &Request, const Candidate &Best,
-                       base::TimePoint Now) const;
+  /// of its order may be free: some of its order have named a limit or asked
+  /// for no requests.
+  bool isHeldUp(const Job &Request, const Candidate &Best,
+                base::TimePoint Now) const;
   /// Returns why no upstream can be used for a request.
   const char *findUnplaceableReason(const Job &Request,
                                     base::TimePoint Now) const;
--- a/src/libs/traffic/placementorder.cpp
+++ b/src/libs/traffic/placementorder.cpp
@@ -86,7 +86,7 @@
   bool HasPreferred = false;
   for (const UpstreamPtr &Upstream : Table.usable(Service)) {
     if (!isAllowedRegion(HomeRegions, Upstream->Region_) ||
-        Upstream->isEjected(Now))
+        Upstream->isAvoided(Now))
       continue;
     All.add(*Upstream);
     if (Upstream->Region_ != PreferredRegion)
@@ -109,7 +109,7 @@
   SlotUsage Own;
   SlotUsage Others;
   for (const UpstreamPtr &Upstream : Table.usable(Service)) {
-    if (Upstream->isEjected(Now))
+    if (Upstream->isAvoided(Now))
       continue;
     if (Upstream->Region_ == OwnRegion_)
       Own.add(*Upstream);
--- a/src/libs/traffic/sendgate.cpp
+++ b/src/libs/traffic/sendgate.cpp
@@ -8,12 +8,17 @@
 
 constexpr base::Duration NoWait = base::Duration::zero();
 
+// Time that a request is expected to wait for the end of a trial.
+constexpr base::Duration TrialWait = std::chrono::milliseconds(250);
+
 } // namespace
 
 const std::vector<SendGate::Rule> &SendGate::rules() {
   static const std::vector<Rule> All = {
       {SendBar::Unlisted, &SendGate::unlistedWait, {}},
       {SendBar::Leaving, &SendGate::leavingWait, {}},
+      {SendBar::Quiet, &SendGate::quietWait, {}},
+      {SendBar::Trial, &SendGate::trialWait, {SendStage::Send}},
       {SendBar::ColdLimit, &SendGate::coldLimitWait, {SendStage::Send}},
       {SendBar::NamedLimit, &SendGate::namedLimitWait, {SendStage::Send}},
       {SendBar::Ejected,
@@ -48,6 +53,18 @@
   return Upstream.isLeaving() ? SendPermission::Never : NoWait;
 }
 
+base::Duration SendGate::quietWait(const UpstreamState &Upstream,
+                                   base::TimePoint Now, int) const {
+  return std::max(Upstream.QuietUntil_ - Now, NoWait);
+}
+
+// All requests that waited would reach the upstream at once, though it may need
+// more time.
+base::Duration SendGate::trialWait(const UpstreamState &Upstream,
+                                   base::TimePoint, int) const {
+  return Upstream.NeedsTrial_ && Upstream.InFlight_ > 0 ? TrialWait : NoWait;
+}
+
 base::Duration SendGate::coldLimitWait(const UpstreamState &Upstream,
                                        base::TimePoint Now, int) const {
   if (!Rules_ || !(IsIsolated_ || Upstream.isCold(Now)))
--- a/src/libs/traffic/sendgate.h
+++ b/src/libs/traffic/sendgate.h
@@ -71,6 +71,10 @@
                               base::TimePoint Now, int Ahead) const;
   base::Duration leavingWait(const UpstreamState &Upstream, base::TimePoint Now,
                              int Ahead) const;
+  base::Duration quietWait(const UpstreamState &Upstream, base::TimePoint Now,
+                           int Ahead) const;
+  base::Duration trialWait(const UpstreamState &Upstream, base::TimePoint Now,
+                           int Ahead) const;
   base::Duration coldLimitWait(const UpstreamState &Upstream,
                                base::TimePoint Now, int Ahead) const;
   base::Duration namedLimitWait(const UpstreamState &Upstream,
--- a/src/libs/traffic/sendpermission.h
+++ b/src/libs/traffic/sendpermission.h
@@ -12,6 +12,10 @@
   Unlisted,
   /// The upstream leaves.
   Leaving,
+  /// The upstream has asked this VM for no requests for some time.
+  Quiet,
+  /// One request shows first whether it takes requests again.
+  Trial,
   /// Other VMs, or earlier requests, have used the rate of a cold upstream.
   ColdLimit,
   /// Other VMs, or earlier requests, have used the rate that it named.
--- a/src/libs/traffic/upstreamstate.h
+++ b/src/libs/traffic/upstreamstate.h
@@ -48,6 +48,10 @@
   base::TimePoint NextSend_{};
   /// Until when the upstream has asked this VM for no requests.
   base::TimePoint QuietUntil_{};
+  /// Whether the last such time was none that can be read.
+  bool HasOddQuietTime_ = false;
+  /// Whether no response since then has shown that it takes requests again.
+  bool NeedsTrial_ = false;
   /// Whether a response of this run has said that the upstream leaves. A run
   /// that leaves does not come back.
   bool HasSaidThatItLeaves_ = false;
@@ -93,6 +97,26 @@
     ReportedColdUntil_ = Other.ReportedColdUntil_;
   }
   bool isEjected(base::TimePoint Now) const { return Now < EjectedUntil_; }
+  bool isQuiet(base::TimePoint Now) const { return Now < QuietUntil_; }
+  /// Returns whether new requests go to other upstreams for now, so that the
+  /// slots of this one are no help.
+  bool isAvoided(base::TimePoint Now) const {
+    return isEjected(Now) || isQuiet(Now);
+  }
+  /// Records that the upstream wants no requests until \p Until. Of several
+  /// times the last one holds.
+  void keepQuiet(base::TimePoint Until) {
+    QuietUntil_ = std::max(QuietUntil_, Until);
+    NeedsTrial_ = true;
+  }
+  /// Records a response to a request that was sent at \p Sent and not turned
+  /// away. Returns whether it ends the trial.
+  bool endTrial(base::TimePoint Sent) {
+    if (!NeedsTrial_ || Sent < QuietUntil_)
+      return false;
+    NeedsTrial_ = false;
+    return true;
+  }
 };
 
 using UpstreamPtr = boost::intrusive_ptr<UpstreamState>;
--- a/src/libs/traffic/upstreamtable.cpp
+++ b/src/libs/traffic/upstreamtable.cpp
@@ -51,6 +51,11 @@
     Upstream->markCold(Now + ColdTime, IsFresh);
   Upstream->Entry_ = Entry;
   Upstream->HasSaidThatItLeaves_ = LeavingRuns_.contains(Upstream->runTag());
+  if (IsNew) {
+    const auto Quiet = QuietRuns_.find(Upstream->runTag());
+    if (Quiet != QuietRuns_.end())
+      Upstream->keepQuiet(Quiet->second);
+  }
   rebuildGroups();
   return true;
 }
@@ -79,6 +84,8 @@
 
 void UpstreamTable::expire(base::TimePoint Now) {
   forgetLeavingRuns(Now);
+  std::erase_if(QuietRuns_,
+                [Now](const auto &Run) { return Run.second <= Now; });
   if (RemovedInGrace_.empty() || Now < GraceUntil_)
     return;
   for (const base::UpstreamName &Name : RemovedInGrace_)
@@ -97,6 +104,14 @@
   return true;
 }
 
+void UpstreamTable::recordQuiet(NameTag Run, base::TimePoint Until) {
+  base::TimePoint &Recorded = QuietRuns_[Run];
+  Recorded = std::max(Recorded, Until);
+  for (const auto &[Name, State] : Upstreams_)
+    if (State->runTag() == Run)
+      State->keepQuiet(Recorded);
+}
+
 void UpstreamTable::forgetLeavingRuns(base::TimePoint Now) {
   if (LeavingRuns_.empty())
     return;
--- a/src/libs/traffic/upstreamtable.h
+++ b/src/libs/traffic/upstreamtable.h
@@ -45,7 +45,7 @@
   }
 
   /// Removes the upstreams whose removal the grace period delayed, once that
-  /// has ended, and forgets leaving runs that ended long ago.
+  /// has ended, and forgets what is no longer needed of earlier runs.
   void expire(base::TimePoint Now);
 
   /// Sets the zones that must not get new requests. Upstreams of a zone that is
@@ -61,6 +61,10 @@
   /// is known.
   bool recordLeaving(NameTag Run, base::TimePoint Now);
 
+  /// Records that the run \p Run of an upstream wants no requests of this VM
+  /// until \p Until, also if its entry goes and comes back before then.
+  void recordQuiet(NameTag Run, base::TimePoint Until);
+
   /// Returns the upstreams of a service that neither leave nor are in an
   /// evacuated zone.
   const std::vector<UpstreamPtr> &
@@ -124,6 +128,8 @@
   /// Runs that have said that they leave, with the last time at which they were
   /// known to be listed. Entries may go and come back while a run leaves.
   std::map<NameTag, base::TimePoint> LeavingRuns_;
+  /// Until when runs want no requests of this VM.
+  std::map<NameTag, base::TimePoint> QuietRuns_;
 };
 
 } // namespace ebony::traffic
--- a/src/libs/vm/responsenotices.cpp
+++ b/src/libs/vm/responsenotices.cpp
@@ -33,7 +33,7 @@
   if (!IsOwnResponse)
     return;
   recordLeaving(Upstream, Attempt, RequestId);
-  recordQuiet(Upstream, Attempt, RequestId);
+  recordQuiet(Upstream, Attempt, RequestId, Started);
 }
 
 void ResponseNotices::recordLeaving(traffic::UpstreamState &Upstream,
@@ -61,13 +61,16 @@
 
 void ResponseNotices::recordQuiet(traffic::UpstreamState &Upstream,
                                   const UpstreamAttempt &Attempt,
-                                  const std::string &RequestId) {
+                                  const std::string &RequestId,
+                                  base::TimePoint Started) {
   constexpr unsigned Unavailable = 503;
-  if (Attempt.status() != Unavailable)
-    return;
-  const std::string_view Text = valueOf(Attempt.fields(), "Retry-After");
-  if (Text.empty())
+  const std::string_view Text = Attempt.status() == Unavailable
+                                    ? valueOf(Attempt.fields(), "Retry-After")
+                                    : std::string_view();
+  if (Text.empty()) {
+    endTrial(Upstream, RequestId, Started);
     return;
+  }
   const auto Seconds = parseDecimal(Text);
   const base::Duration Asked =
       base::fromSeconds(std::min(Seconds.value_or(0), MaxQuietSeconds));
@@ -75,9 +78,11 @@
   // All requests under way at the upstream may get such a response, and one
   // that asks for no time may come with each refusal.
   const bool IsLogged = Asked > base::Duration::zero()
-                            ? Upstream.QuietUntil_ <= Now
-                            : Upstream.QuietUntil_ == base::TimePoint{};
-  Upstream.QuietUntil_ = std::max(Upstream.QuietUntil_, Now + Asked);
+                            ? !Upstream.isQuiet(Now)
+                            : !Upstream.HasOddQuietTime_;
+  Upstream.HasOddQuietTime_ = Asked == base::Duration::zero();
+  if (Asked > base::Duration::zero())
+    State_.Upstreams_.recordQuiet(Upstream.runTag(), Now + Asked);
   if (IsLogged)
     State_.log(EventLine("upstream-quiet")
                    .add("id", RequestId)
@@ -87,6 +92,16 @@
                    .add("in_flight", Upstream.InFlight_));
 }
 
+void ResponseNotices::endTrial(traffic::UpstreamState &Upstream,
+                               const std::string &RequestId,
+                               base::TimePoint Started) {
+  if (!Upstream.endTrial(Started))
+    return;
+  State_.log(EventLine("upstream-quiet-ended")
+                 .add("id", RequestId)
+                 .add("upstream", Upstream.Entry_.Name_.text()));
+}
+
 void ResponseNotices::recordNamedLimit(traffic::UpstreamState &Upstream,
                                        const UpstreamAttempt &Attempt,
                                        const std::string &RequestId,
--- a/src/libs/vm/responsenotices.h
+++ b/src/libs/vm/responsenotices.h
@@ -22,10 +22,13 @@
   void recordLeaving(traffic::UpstreamState &Upstream,
                      const UpstreamAttempt &Attempt,
                      const std::string &RequestId);
-  /// Records for how long the response asked this VM for no requests.
+  /// Records for how long the response asked this VM for no requests, or that
+  /// it did not ask.
   void recordQuiet(traffic::UpstreamState &Upstream,
-                   const UpstreamAttempt &Attempt,
-                   const std::string &RequestId);
+                   const UpstreamAttempt &Attempt, const std::string &RequestId,
+                   base::TimePoint Started);
+  void endTrial(traffic::UpstreamState &Upstream, const std::string &RequestId,
+                base::TimePoint Started);
   /// Records the request rate that the response named, or that it named none.
   void recordNamedLimit(traffic::UpstreamState &Upstream,
                         const UpstreamAttempt &Attempt,
--- a/tests/libs/traffic/sendgatetest.cpp
+++ b/tests/libs/traffic/sendgatetest.cpp
@@ -70,4 +70,25 @@
   BOOST_TEST(ask(SendStage::Send).isNow());
 }
 
+// Incident quiet-upstream: the ways past an ejection must not lead to an
+// upstream that has asked for no requests.
+BOOST_AUTO_TEST_CASE(quietUpstreamIsBarredAtEachStageUntilItsTimeIsOver) {
+  Upstream_->keepQuiet(at(4s));
+  Upstream_->keepQuiet(at(2s));
+  for (const SendStage Stage : AllStages)
+    BOOST_TEST((ask(Stage) == SendPermission{SendBar::Quiet, 4s}));
+}
+
+BOOST_AUTO_TEST_CASE(oneRequestTriesAnUpstreamAfterItsQuietTime) {
+  Upstream_->keepQuiet(at(-1s));
+  BOOST_TEST(ask(SendStage::Place).isNow());
+  Upstream_->InFlight_ = 1;
+  BOOST_TEST((ask(SendStage::Place).Bar_ == SendBar::Trial));
+  BOOST_TEST(ask(SendStage::Send).isNow());
+  // The response to a request that was sent before says nothing.
+  BOOST_TEST(!Upstream_->endTrial(at(-2s)));
+  BOOST_TEST(Upstream_->endTrial(at(0s)));
+  BOOST_TEST(ask(SendStage::Place).isNow());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libs/traffic/upstreamtabletest.cpp
+++ b/tests/libs/traffic/upstreamtabletest.cpp
@@ -124,4 +124,19 @@
   BOOST_TEST(Table.usable(Status).empty());
 }
 
+BOOST_AUTO_TEST_CASE(quietTimeOutlastsTheEntryButNotTheRun) {
+  UpstreamTable Table = table();
+  UpstreamEntry Entry = upstream("u1", "east-a");
+  Table.put(Entry, at(0s));
+  Table.recordQuiet(Table.find(Entry.Name_)->runTag(), at(10s));
+  Table.remove(Entry.Name_, at(1s));
+  Table.expire(at(2s));
+  Table.put(Entry, at(3s));
+  BOOST_TEST(Table.find(Entry.Name_)->isQuiet(at(9s)));
+  BOOST_TEST(!Table.find(Entry.Name_)->isQuiet(at(10s)));
+  Entry.StartedUnixMs_ = 2;
+  Table.put(Entry, at(4s));
+  BOOST_TEST(!Table.find(Entry.Name_)->isQuiet(at(5s)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
