Refuse requests that a stopping VM can't have answered before it ends

Callers of a VM that stopped lost uploads: read, waiting for a slot, run by nobody, and cut 5.7 s after SIGTERM without an answer, so that they could not be sent again.

From SIGTERM on the end of the process, less the time to write the answers, bounds each decision: new requests, waiting ones, repeats and relays that are not expected to be answered by then are refused, 503 if they have not run, and the caller is told to come back at once, since another VM serves it. One that must not be repeated needs three times its expected time, because its caller could not know whether it ran. An attempt under way keeps its own deadline: an upstream at work is not broken off. requestcutbystoptest and stopdeadlinetest pass.

--- a/src/libs/traffic/dispatcher.cpp
+++ b/src/libs/traffic/dispatcher.cpp
@@ -16,6 +16,16 @@
 // allows for prediction errors and the way back to the caller.
 constexpr double UsableTimeShare = 0.9;
 
+// The same of the time until the process ends, for a request that must not be
+// repeated: its caller would not know whether it was executed. Requests take up
+// to three times as long as usual.
+constexpr double UsableStopTimeShare = 1.0 / 3;
+
+// Retry-After of a request that is refused because the process ends: another VM
+// serves it.
+constexpr base::Duration StoppingRetryAfter = std::chrono::milliseconds(50);
+constexpr const char *StoppingReason = "stopping";
+
 // Fraction of the latency objective that the predicted latency may take for a
 // request to be admitted while all slots are busy. Under sustained overload the
 // queue grows to this limit, and each response takes that long.
@@ -175,7 +185,7 @@
 
 bool Dispatcher::canRetry(const Job &Request, base::TimePoint Now) {
   const base::Duration TimeBudget =
-      scaled(Request.Deadline_ - Now, UsableTimeShare);
+      scaled(std::min(Request.Deadline_, StopDeadline_) - Now, UsableTimeShare);
   for (std::size_t Rank = 0; Rank < Request.Order_.size(); ++Rank) {
     const UpstreamState &Upstream = *Request.Order_[Rank];
     if (Request.wasTried(Upstream.Entry_.Name_) || Upstream.isCold(Now) ||
@@ -193,6 +203,8 @@
   const base::Duration TimeLeft = Request.Deadline_ - Now;
   if (TimeLeft <= base::Duration::zero())
     return refuse(Request, base::Duration::zero(), "no-time-left", Now);
+  if (Now >= StopDeadline_)
+    return refuse(Request, base::Duration::zero(), StoppingReason, Now);
   // Entries may change while a request waits, so compute the order again.
   Request.Order_ = Order_.order(Table_, Request.Service_, Request.ObjectHash_,
                                 Request.HomeRegions_, MaxCandidates);
@@ -286,7 +298,9 @@
 
 const char *Dispatcher::findRefusalReason(const Job &Request,
                                           const Candidate &Best,
-                                          base::TimePoint Now) {
+                                          base::TimePoint Now) const {
+  if (endsAfterStop(Request, Best.PredictedLatency_, Now))
+    return StoppingReason;
   if (Best.PredictedLatency_ > scaled(Request.Deadline_ - Now, UsableTimeShare))
     return "too-late";
   const base::TimePoint AdmissionLimit =
@@ -298,6 +312,16 @@
   return nullptr;
 }
 
+bool Dispatcher::endsAfterStop(const Job &Request, base::Duration Latency,
+                               base::TimePoint Now) const {
+  if (StopDeadline_ == base::TimePoint::max())
+    return false;
+  const double Share = Request.RetryPolicy_ == RetryPolicy::Idempotent
+                           ? UsableTimeShare
+                           : UsableStopTimeShare;
+  return Latency > scaled(StopDeadline_ - Now, Share);
+}
+
 Dispatcher::Candidate Dispatcher::predict(const Job &Request, std::size_t Rank,
                                           double Price, SendStage Stage,
                                           base::TimePoint Now) {
@@ -378,6 +402,10 @@
   Result.Action_ = PlacementAction::Refuse;
   Result.PredictedLatency_ = PredictedLatency;
   Result.Reason_ = Reason;
+  if (Reason == StoppingReason) {
+    Result.RetryAfter_ = StoppingRetryAfter;
+    return Result;
+  }
   ReturnAdvice &Advice = returnAdviceFor(Request);
   if (!Request.IsAdmitted_)
     Advice.recordDecision(true, Now);
--- a/src/libs/traffic/dispatcher.h
+++ b/src/libs/traffic/dispatcher.h
@@ -59,6 +59,12 @@
   /// them may be cold.
   void setIsolated(bool IsIsolated) { Gate_.setIsolated(IsIsolated); }
 
+  /// Sets the time by which all responses must have arrived because the process
+  /// ends. A request that is not expected to be answered by then is refused.
+  void setStopDeadline(base::TimePoint Deadline) { StopDeadline_ = Deadline; }
+  /// Returns that time; TimePoint::max() unless the process is to end.
+  base::TimePoint stopDeadline() const { return StopDeadline_; }
+
   /// Returns the refusal if a new request would be refused now, else
   /// std::nullopt. Called before the request is charged to its customer's
   /// quota.
@@ -128,9 +134,13 @@
   Candidate predict(const Job &Request, std::size_t Rank, double Price,
                     SendStage Stage, base::TimePoint Now);
   /// Returns why a request is refused rather than sent to \p Best, or null.
-  static const char *findRefusalReason(const Job &Request,
-                                       const Candidate &Best,
-                                       base::TimePoint Now);
+  const char *findRefusalReason(const Job &Request, const Candidate &Best,
+                                base::TimePoint Now) const;
+  /// Returns whether a response predicted to take \p Latency would arrive
+  /// after the end of the process, or might do so if the request must not be
+  /// repeated.
+  bool endsAfterStop(const Job &Request, base::Duration Latency,
+                     base::TimePoint Now) const;
   int countWaitingAhead(const Job &Request,
                         const UpstreamState &Upstream) const;
   static void recordLatencyFactor(UpstreamState &Upstream, double Previous,
@@ -152,6 +162,7 @@
   SendGate Gate_;
   base::RandomEngine Random_;
   std::map<base::ServiceName, ReturnAdvice> ReturnAdvice_;
+  base::TimePoint StopDeadline_ = base::TimePoint::max();
   UpstreamHealth Health_;
   std::map<std::pair<std::string, base::ServiceName>, WorkTimes> WorkTimes_;
   std::map<base::ServiceName, CacheEstimator> Caches_;
--- a/src/libs/vm/requestrelay.cpp
+++ b/src/libs/vm/requestrelay.cpp
@@ -1,5 +1,7 @@
 #include "vm/requestrelay.h"
 
+#include <algorithm>
+
 namespace ebony::vm {
 
 namespace {
@@ -24,6 +26,9 @@
                   std::vector<base::RegionName> HomeRegions,
                   base::TimePoint Deadline,
                   std::shared_ptr<UpstreamAttempt> &Attempt) {
+  // The response could not arrive before the process ends.
+  if (State_.now() >= State_.Dispatcher_.stopDeadline())
+    co_return std::nullopt;
   std::vector<std::string> Tried;
   while (!State_.Reachability_.reachesUpstreams() && Tried.size() < MaxPeers) {
     const auto Peer = State_.Relays_.select(State_.Members_, HomeRegions, Tried,
@@ -58,8 +63,8 @@
                       State_.Settings_.PeerPort_};
   // The other VM takes relayed requests from listed addresses only.
   Options.LocalAddress_ = State_.Settings_.Callers_.address();
-  Options.Deadline_ = Deadline;
-  Options.TimeLeft_ = Deadline - State_.now();
+  Options.Deadline_ = std::min(Deadline, State_.Dispatcher_.stopDeadline());
+  Options.TimeLeft_ = Options.Deadline_ - State_.now();
   Options.ConnectTimeout_ = ConnectTimeout;
   Options.MaxIdle_ = MaxIdle;
   return Options;
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -44,6 +44,10 @@
 // Time before the end of the grace period at which the process exits.
 constexpr base::Duration StopMargin = std::chrono::milliseconds(300);
 
+// Time before the exit by which responses must have arrived from upstreams, so
+// that they, or refusals in their place, can be sent to the callers.
+constexpr base::Duration AnswerMargin = std::chrono::milliseconds(200);
+
 // Time after SIGTERM for which new connections are still served: callers may
 // use a cached directory response that names this VM for this long.
 constexpr base::Duration LeavingDuration = std::chrono::milliseconds(2500);
@@ -266,6 +270,7 @@
   const base::TimePoint End =
       StopStarted + State_.Bounds_.StopGrace_ - StopMargin;
   State_.IsStopping_ = true;
+  State_.Dispatcher_.setStopDeadline(End - AnswerMargin);
   Messenger_.sendReports();
   asio::steady_timer Timer(Context_);
   error_code Ignored; // The timer is never cancelled.
@@ -283,9 +288,12 @@
     if (Sessions_.empty())
       break;
   }
-  State_.log(EventLine("stopped").add(
-      "open_connections", static_cast<std::int64_t>(std::distance(
-                              Sessions_.begin(), Sessions_.end()))));
+  State_.log(
+      EventLine("stopped")
+          .add("open_connections", static_cast<std::int64_t>(std::distance(
+                                       Sessions_.begin(), Sessions_.end())))
+          .add("waiting_requests",
+               static_cast<std::int64_t>(State_.Dispatcher_.waitingCount())));
   State_.Log_.flush();
   Context_.stop();
 }
--- a/tests/libs/vm/daemonfleetfixture.h
+++ b/tests/libs/vm/daemonfleetfixture.h
@@ -27,7 +27,10 @@
     std::unique_ptr<VmDaemon> Daemon_;
   };
 
-  explicit DaemonFleetFixture(int VmCount = 3) {
+  explicit DaemonFleetFixture(
+      int VmCount = 3, int Slots = SlotsPerUpstream,
+      base::Duration StopGrace = FleetBounds().StopGrace_)
+      : Slots_(Slots), StopGrace_(StopGrace) {
     Rows_["operators"] = {{"configuration", "", 1, false}};
     for (int I = 0; I < UpstreamCount; ++I) {
       Upstreams_.push_back(std::make_unique<FakeUpstream>(Context_));
@@ -72,10 +75,10 @@
       return Text;
     };
     const auto Decode = Binding.DecodeUpstream_;
-    Binding.DecodeUpstream_ = [Decode, Ports](const store::Row &Row) {
+    Binding.DecodeUpstream_ = [this, Decode, Ports](const store::Row &Row) {
       auto Entry = Decode(Row);
       Entry->Port_ = Ports.at(static_cast<std::size_t>(std::stoi(Row.Value_)));
-      Entry->Slots_ = SlotsPerUpstream;
+      Entry->Slots_ = Slots_;
       return Entry;
     };
     VmSettings Settings;
@@ -91,6 +94,7 @@
     Settings.PeerPort_ = PeerPort;
     FleetBounds Bounds;
     Bounds.RetrySlack_ = 100;
+    Bounds.StopGrace_ = StopGrace_;
     Made.State_ = std::make_unique<VmState>(Context_, Clock_, Settings, Bounds,
                                             std::move(Binding), 1);
     Made.Daemon_ = std::make_unique<VmDaemon>(Context_, *Made.State_);
@@ -220,6 +224,8 @@
     Context_.run();
   }
 
+  int Slots_;
+  base::Duration StopGrace_;
   boost::asio::io_context Context_{1};
   base::SteadyClock Clock_;
   FakeRows Rows_;
