Wait for the condition of requestcutbystoptest instead of a fixed time

The test gave 40 uploads 300 ms to arrive and wait, which a busy machine may not keep. It now waits until one of them waits, and then 300 ms more.

--- a/tests/libs/vm/requestcutbystoptest.cpp
+++ b/tests/libs/vm/requestcutbystoptest.cpp
@@ -51,6 +51,8 @@
       co_await Fixture.call(0, "/write/short", "sheet");
     for (unsigned &Status : Results)
       Fixture.startUpload("/write/long", Status);
+    co_await Fixture.await(
+        [&] { return State.Dispatcher_.waitingCount() > 0; });
     co_await Fixture.pause(300ms);
     Count = State.Dispatcher_.waitingCount();
     std::raise(SIGTERM);
