Require keys also from a configuration whose list of customers is empty

Cause: whether requests need a key was answered by whether there is a customer.

Ruled out: keys that outlive a version by its propagation. The withdrawn key of a configuration with another customer is refused.

--- a/src/libs/traffic/trafficrules.cpp
+++ b/src/libs/traffic/trafficrules.cpp
@@ -13,9 +13,12 @@
 
 void TrafficRules::addCustomer(CustomerSettings Customer,
                                const std::vector<std::string> &Keys) {
+  AreKeysRequired_ = true;
   Customers_.push_back(std::move(Customer));
   for (const std::string &Key : Keys)
-    CustomerOfKey_[Key] = Customers_.size() - 1;
+    // An empty key would let in requests that have none.
+    if (!Key.empty())
+      CustomerOfKey_[Key] = Customers_.size() - 1;
 }
 
 const RouteSettings *TrafficRules::findRoute(std::string_view Host,
--- a/src/libs/traffic/trafficrules.h
+++ b/src/libs/traffic/trafficrules.h
@@ -33,7 +33,9 @@
   /// Returns the customer that owns \p Key, or null if the key is unknown.
   const CustomerSettings *findCustomer(std::string_view Key) const;
 
-  bool hasCustomers() const { return !Customers_.empty(); }
+  /// Sets that requests need a customer's key, even if there is no customer.
+  void setKeysRequired() { AreKeysRequired_ = true; }
+  bool areKeysRequired() const { return AreKeysRequired_; }
   std::int64_t version() const { return Version_; }
   const CallerLimits &limits() const { return Limits_; }
   const std::vector<CustomerSettings> &customers() const { return Customers_; }
@@ -45,6 +47,7 @@
   std::map<base::ServiceName, ServiceSettings> Services_;
   std::vector<CustomerSettings> Customers_;
   std::map<std::string, std::size_t, std::less<>> CustomerOfKey_;
+  bool AreKeysRequired_ = false;
 };
 
 using TrafficRulesPtr = std::shared_ptr<const TrafficRules>;
--- a/src/libs/vm/requestexchange.cpp
+++ b/src/libs/vm/requestexchange.cpp
@@ -174,7 +174,7 @@
     co_return;
   }
   const traffic::CustomerSettings *Customer = nullptr;
-  if (Rules->hasCustomers() && !Route->IsPublic_) {
+  if (Rules->areKeysRequired() && !Route->IsPublic_) {
     if (!State_.KeyTrust_.isFresh(State_.now()) ||
         !State_.PlanTrust_.isFresh(State_.now())) {
       answer(503, "keys-not-current", NoConfigurationRetryAfter);
--- a/tests/libs/vm/requestpathfixture.h
+++ b/tests/libs/vm/requestpathfixture.h
@@ -76,7 +76,9 @@
       Context_, {boost::asio::ip::address_v4::loopback(), 0}};
   int LastId_ = 0;
 
-  RequestPathFixture() {
+  /// \p Adjust may change the binding before it is used.
+  explicit RequestPathFixture(
+      const std::function<void(PlatformBinding &)> &Adjust = nullptr) {
     Rows_["operators"] = {{"configuration", "", 1, false}};
     Rows_["upstreams"] = {
         {"one", std::to_string(FirstUpstream_.port()), 2, false},
@@ -87,8 +89,11 @@
     Settings.Region_ = base::RegionName("r");
     FleetBounds Bounds;
     Bounds.RetrySlack_ = 100;
+    PlatformBinding Binding = makeTestBinding(Context_, Rows_);
+    if (Adjust)
+      Adjust(Binding);
     State_ = std::make_unique<VmState>(Context_, Clock_, Settings, Bounds,
-                                       makeTestBinding(Context_, Rows_), 1);
+                                       Binding, 1);
     AsyncDispatcher_ = std::make_unique<AsyncDispatcher>(*State_);
     Admission_ = std::make_unique<QuotaAdmission>(
         *State_, [](const std::string &, const peers::TokenAsk &) {});
