Order reports of an upstream by start and sequence

Cause: sequence, which orders the reports of a run, was not decoded, and the table took the last entry read for the newest. One record of a run now holds what is known of it, whoever told it: entries of an earlier start or a lower sequence change nothing, and leaving is final within a run. Notices in answers and quiet times use the same record instead of two maps. Entries without a start are told apart by the silence of the earlier run.

Ruled out: a removed entry that is kept too long; it is a fault of its own.

--- a/src/libs/traffic/upstreamentry.h
+++ b/src/libs/traffic/upstreamentry.h
@@ -5,6 +5,7 @@
 #include "base/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace ebony::traffic {
@@ -22,6 +23,8 @@
   base::Duration ColdRemaining_{};
   /// Start of the process in milliseconds of Unix time; 0 if unknown.
   std::int64_t StartedUnixMs_ = 0;
+  /// Rises with each entry of a run; std::nullopt if unknown.
+  std::optional<std::int64_t> Sequence_;
 
   friend bool operator==(const UpstreamEntry &,
                          const UpstreamEntry &) = default;
--- a/src/libs/traffic/upstreamstate.h
+++ b/src/libs/traffic/upstreamstate.h
@@ -4,6 +4,7 @@
 #include "traffic/namedlimit.h"
 #include "traffic/nametag.h"
 #include "traffic/upstreamentry.h"
+#include "traffic/upstreamrun.h"
 
 #include <boost/smart_ptr/intrusive_ptr.hpp>
 #include <boost/smart_ptr/intrusive_ref_counter.hpp>
@@ -18,6 +19,8 @@
     : boost::intrusive_ref_counter<UpstreamState,
                                    boost::thread_unsafe_counter> {
   UpstreamEntry Entry_;
+  /// The run that the entry is of; null if the upstream was never in the table.
+  UpstreamRunPtr Run_;
   base::RegionName Region_;
   std::uint64_t NameHash_ = 0;
   /// Whether the upstream is still in the table.
@@ -52,9 +55,6 @@
   bool HasOddQuietTime_ = false;
   /// Whether no response since then has shown that it takes requests again.
   bool NeedsTrial_ = false;
-  /// Whether a response of this run has said that the upstream leaves. A run
-  /// that leaves does not come back.
-  bool HasSaidThatItLeaves_ = false;
   /// Rate that the upstream asks all VMs together not to exceed.
   NamedLimit Limit_;
 
@@ -72,7 +72,9 @@
         base::mixBits(static_cast<std::uint64_t>(Entry_.StartedUnixMs_))));
   }
 
-  bool isLeaving() const { return Entry_.IsDraining_ || HasSaidThatItLeaves_; }
+  bool isLeaving() const {
+    return Entry_.IsDraining_ || (Run_ && Run_->IsLeaving_);
+  }
   int load() const { return InFlight_ + InFlightElsewhere_; }
   int freeSlots() const { return Entry_.Slots_ - load(); }
   bool isCold(base::TimePoint Now) const {
--- a/src/libs/traffic/upstreamtable.cpp
+++ b/src/libs/traffic/upstreamtable.cpp
@@ -11,11 +11,6 @@
 // Most upstreams in one report; those that stay cold for longest go first.
 constexpr std::size_t MaxReportedCold = 128;
 
-// Time for which a run that leaves is remembered once it is not listed; longer
-// than an upstream serves after it has announced that it leaves, and than the
-// store may take to show an older entry of it.
-constexpr base::Duration LeavingRunMemory = std::chrono::minutes(10);
-
 bool isOtherProcess(const UpstreamEntry &Old, const UpstreamEntry &New) {
   return Old.StartedUnixMs_ != New.StartedUnixMs_ ||
          Old.Address_ != New.Address_ || Old.Port_ != New.Port_ ||
@@ -26,20 +21,26 @@
 
 bool UpstreamTable::put(const UpstreamEntry &Entry, base::TimePoint Now,
                         base::Duration MinColdTime, bool IsFresh) {
+  if (isOutdated(Entry, Now))
+    return false;
+  const UpstreamRunPtr Run = Runs_.record(Entry, Now);
   RemovedInGrace_.erase(Entry.Name_);
   UpstreamPtr &Upstream = Upstreams_[Entry.Name_];
-  const bool IsNew = !Upstream || isOtherProcess(Upstream->Entry_, Entry);
+  const bool IsNew = !Upstream || Upstream->Run_ != Run ||
+                     isOtherProcess(Upstream->Entry_, Entry);
   const base::Duration ColdTime =
       IsNew ? std::max(Entry.ColdRemaining_, MinColdTime)
             : Entry.ColdRemaining_;
-  if (!IsNew && Upstream->Entry_ == Entry)
-    return false;
+  if (!IsNew) {
+    Upstream->Entry_.Sequence_ = Entry.Sequence_;
+    if (Upstream->Entry_ == Entry)
+      return false;
+  }
   if (IsNew) {
     const UpstreamPtr Previous = Upstream;
     Upstream = UpstreamPtr(new UpstreamState);
     if (Previous) {
       Previous->IsListed_ = false;
-      // The entry may be an older one that the store has written late.
       Upstream->keepCold(*Previous);
     }
     Upstream->NameHash_ = base::stableHash(Entry.Name_.text());
@@ -50,12 +51,9 @@
   if (ColdTime > base::Duration::zero())
     Upstream->markCold(Now + ColdTime, IsFresh);
   Upstream->Entry_ = Entry;
-  Upstream->HasSaidThatItLeaves_ = LeavingRuns_.contains(Upstream->runTag());
-  if (IsNew) {
-    const auto Quiet = QuietRuns_.find(Upstream->runTag());
-    if (Quiet != QuietRuns_.end())
-      Upstream->keepQuiet(Quiet->second);
-  }
+  Upstream->Run_ = Run;
+  if (IsNew && Run->QuietUntil_ > Now)
+    Upstream->keepQuiet(Run->QuietUntil_);
   rebuildGroups();
   return true;
 }
@@ -83,9 +81,11 @@
 }
 
 void UpstreamTable::expire(base::TimePoint Now) {
-  forgetLeavingRuns(Now);
-  std::erase_if(QuietRuns_,
-                [Now](const auto &Run) { return Run.second <= Now; });
+  Runs_.expire(
+      [this](const base::UpstreamName &Name) {
+        return Upstreams_.contains(Name);
+      },
+      Now);
   if (RemovedInGrace_.empty() || Now < GraceUntil_)
     return;
   for (const base::UpstreamName &Name : RemovedInGrace_)
@@ -94,35 +94,23 @@
   rebuildGroups();
 }
 
-bool UpstreamTable::recordLeaving(NameTag Run, base::TimePoint Now) {
-  if (!LeavingRuns_.insert_or_assign(Run, Now).second)
+bool UpstreamTable::recordLeaving(const UpstreamState &Upstream) {
+  UpstreamRun &Run = *Upstream.Run_;
+  if (Run.IsLeaving_)
     return false;
-  for (const auto &[Name, State] : Upstreams_)
-    if (State->runTag() == Run)
-      State->HasSaidThatItLeaves_ = true;
+  Run.IsLeaving_ = true;
   rebuildGroups();
   return true;
 }
 
-void UpstreamTable::recordQuiet(NameTag Run, base::TimePoint Until) {
-  base::TimePoint &Recorded = QuietRuns_[Run];
-  Recorded = std::max(Recorded, Until);
-  for (const auto &[Name, State] : Upstreams_)
-    if (State->runTag() == Run)
-      State->keepQuiet(Recorded);
-}
-
-void UpstreamTable::forgetLeavingRuns(base::TimePoint Now) {
-  if (LeavingRuns_.empty())
-    return;
-  for (const auto &[Name, State] : Upstreams_) {
-    const auto Run = LeavingRuns_.find(State->runTag());
-    if (Run != LeavingRuns_.end())
-      Run->second = Now;
-  }
-  std::erase_if(LeavingRuns_, [Now](const auto &Run) {
-    return Now - Run.second > LeavingRunMemory;
-  });
+void UpstreamTable::recordQuiet(UpstreamState &Upstream,
+                                base::TimePoint Until) {
+  UpstreamRun &Run = *Upstream.Run_;
+  Run.QuietUntil_ = std::max(Run.QuietUntil_, Until);
+  Upstream.keepQuiet(Run.QuietUntil_);
+  const UpstreamPtr Listed = find(Upstream.Entry_.Name_);
+  if (Listed && Listed->Run_ == Upstream.Run_)
+    Listed->keepQuiet(Run.QuietUntil_);
 }
 
 void UpstreamTable::setEvacuated(const std::set<base::ZoneName> &Zones,
--- a/src/libs/traffic/upstreamtable.h
+++ b/src/libs/traffic/upstreamtable.h
@@ -2,6 +2,7 @@
 #define EBONY_TRAFFIC_UPSTREAMTABLE_H
 
 #include "traffic/nametag.h"
+#include "traffic/upstreamruns.h"
 #include "traffic/upstreamstate.h"
 
 #include <map>
@@ -22,11 +23,16 @@
                 base::Duration GracePeriod)
       : Zones_(std::move(Zones)), GracePeriod_(GracePeriod) {}
 
-  /// Adds or updates an upstream. If the entry is of another process under the
-  /// same name, the upstream's state is reset, but not for how long it is cold.
-  /// A process that was not in the table is taken for cold for at least \p
-  /// MinColdTime. \p IsFresh is whether the entry is new to the fleet. Returns
-  /// false if nothing changed.
+  /// Returns whether \p Entry is older than one that the table has had.
+  bool isOutdated(const UpstreamEntry &Entry, base::TimePoint Now) const {
+    return Runs_.orderOf(Entry, Now) == EntryOrder::Outdated;
+  }
+
+  /// Adds or updates an upstream, unless the entry is outdated. If the entry is
+  /// of another process under the same name, the upstream's state is reset, but
+  /// not for how long it is cold. A process that was not in the table is taken
+  /// for cold for at least \p MinColdTime. \p IsFresh is whether the entry is
+  /// new to the fleet. Returns false if nothing changed.
   bool put(const UpstreamEntry &Entry, base::TimePoint Now,
            base::Duration MinColdTime = base::Duration::zero(),
            bool IsFresh = true);
@@ -56,14 +62,14 @@
                     base::Duration ColdDuration, base::TimePoint Now,
                     bool IsFresh = true);
 
-  /// Records that the run \p Run of an upstream has said in a response that it
-  /// leaves. No entry of that run makes it usable again. Returns false if that
-  /// is known.
-  bool recordLeaving(NameTag Run, base::TimePoint Now);
+  /// Records that the run of an upstream has said in a response that it leaves.
+  /// No entry of that run makes it usable again. Returns false if that is
+  /// known. \p Upstream may be one that the table no longer holds.
+  bool recordLeaving(const UpstreamState &Upstream);
 
-  /// Records that the run \p Run of an upstream wants no requests of this VM
-  /// until \p Until, also if its entry goes and comes back before then.
-  void recordQuiet(NameTag Run, base::TimePoint Until);
+  /// Records that the run of an upstream wants no requests of this VM until \p
+  /// Until, also if its entry goes and comes back before then.
+  void recordQuiet(UpstreamState &Upstream, base::TimePoint Until);
 
   /// Returns the upstreams of a service that neither leave nor are in an
   /// evacuated zone.
@@ -115,7 +121,6 @@
 
   void eraseEntry(const base::UpstreamName &Name);
   void rebuildGroups();
-  void forgetLeavingRuns(base::TimePoint Now);
 
   std::map<base::ZoneName, base::RegionName> Zones_;
   base::Duration GracePeriod_;
@@ -125,11 +130,8 @@
   /// Upstreams to remove when the grace period ends.
   std::set<base::UpstreamName> RemovedInGrace_;
   std::set<base::ZoneName> EvacuatedZones_;
-  /// Runs that have said that they leave, with the last time at which they were
-  /// known to be listed. Entries may go and come back while a run leaves.
-  std::map<NameTag, base::TimePoint> LeavingRuns_;
-  /// Until when runs want no requests of this VM.
-  std::map<NameTag, base::TimePoint> QuietRuns_;
+  /// Runs, also of upstreams whose entries are gone for now.
+  UpstreamRuns Runs_;
 };
 
 } // namespace ebony::traffic
--- a/src/libs/vm/responsenotices.cpp
+++ b/src/libs/vm/responsenotices.cpp
@@ -43,9 +43,7 @@
       valueOf(Attempt.fields(), State_.Platform_.Headers_.Leaving_) == "1";
   if (!IsLeaving)
     return;
-  // The upstream's state may be one that the table no longer holds.
-  Upstream.HasSaidThatItLeaves_ = true;
-  if (!State_.Upstreams_.recordLeaving(Upstream.runTag(), State_.now()))
+  if (!State_.Upstreams_.recordLeaving(Upstream))
     return;
   State_.Metrics_.LeavingUpstreams_.add();
   State_.log(
@@ -82,7 +80,7 @@
                             : !Upstream.HasOddQuietTime_;
   Upstream.HasOddQuietTime_ = Asked == base::Duration::zero();
   if (Asked > base::Duration::zero())
-    State_.Upstreams_.recordQuiet(Upstream.runTag(), Now + Asked);
+    State_.Upstreams_.recordQuiet(Upstream, Now + Asked);
   if (IsLogged)
     State_.log(EventLine("upstream-quiet")
                    .add("id", RequestId)
--- a/src/libs/vm/statesynchronizer.cpp
+++ b/src/libs/vm/statesynchronizer.cpp
@@ -158,6 +158,16 @@
     return;
   }
   MalformedEntries_.erase(Row.Key_);
+  if (State_.Upstreams_.isOutdated(*Entry, State_.now())) {
+    State_.Metrics_.OutdatedEntries_.add();
+    State_.log(EventLine("upstream-entry-outdated")
+                   .add("upstream", Row.Key_)
+                   .add("state", Entry->IsDraining_ ? "draining" : "ready")
+                   .add("started", Entry->StartedUnixMs_)
+                   .add("sequence", Entry->Sequence_.value_or(-1))
+                   .add("row_version", Row.Version_));
+    return;
+  }
   const traffic::UpstreamPtr Previous = State_.Upstreams_.find(Entry->Name_);
   const bool WasDraining = Previous && Previous->Entry_.IsDraining_;
   const bool WasCold = Previous && Previous->isCold(State_.now());
@@ -185,6 +195,7 @@
                  .add("cold_ms", Entry->ColdRemaining_.count() / 1000)
                  .add("taken_cold_ms", ColdRemaining.count() / 1000)
                  .add("started", Entry->StartedUnixMs_)
+                 .add("sequence", Entry->Sequence_.value_or(-1))
                  .add("row_version", Row.Version_));
 }
 
--- a/src/libs/vm/vmmetrics.cpp
+++ b/src/libs/vm/vmmetrics.cpp
@@ -46,6 +46,9 @@
       LeavingUpstreams_(Registry_.counter(
           "ebony_leaving_upstreams_total",
           "Upstreams that have said in a response that they leave.")),
+      OutdatedEntries_(Registry_.counter(
+          "ebony_outdated_upstream_entries_total",
+          "Entries of upstreams that were older than what was known.")),
       ColdUpstreams_(Registry_.counter("ebony_cold_upstreams",
                                        "Upstreams taken for cold.", "", Gauge)),
       SendsToCold_(Registry_.counter("ebony_sends_to_cold_upstreams_total",
--- a/src/libs/vm/vmmetrics.h
+++ b/src/libs/vm/vmmetrics.h
@@ -34,6 +34,7 @@
   telemetry::Counter &LimitedUpstreams_;
   telemetry::Counter &SendsToLimited_;
   telemetry::Counter &LeavingUpstreams_;
+  telemetry::Counter &OutdatedEntries_;
   telemetry::Counter &ColdUpstreams_;
   telemetry::Counter &SendsToCold_;
   telemetry::Counter &IsIsolated_;
--- a/tests/libs/traffic/sendgatetest.cpp
+++ b/tests/libs/traffic/sendgatetest.cpp
@@ -39,11 +39,12 @@
 
 // Each way of a request to an upstream ends when the upstream leaves.
 BOOST_AUTO_TEST_CASE(leavingUpstreamIsBarredAtEachStage) {
-  Upstream_->HasSaidThatItLeaves_ = true;
+  Upstream_->Run_ = new UpstreamRun;
+  Upstream_->Run_->IsLeaving_ = true;
   for (const SendStage Stage : AllStages)
     BOOST_TEST((ask(Stage) ==
                 SendPermission{SendBar::Leaving, SendPermission::Never}));
-  Upstream_->HasSaidThatItLeaves_ = false;
+  Upstream_->Run_->IsLeaving_ = false;
   Upstream_->Entry_.IsDraining_ = true;
   for (const SendStage Stage : AllStages)
     BOOST_TEST(ask(Stage).isNever());
--- a/tests/libs/vm/leavingupstreamsendtest.cpp
+++ b/tests/libs/vm/leavingupstreamsendtest.cpp
@@ -54,7 +54,7 @@
       for (const auto &[Name, Upstream] : State_->Upstreams_.all())
         if (Upstream->InFlight_ > 0) {
           for (const auto &[Other, Leaving] : State_->Upstreams_.all())
-            State_->Upstreams_.recordLeaving(Leaving->runTag(), Clock_.now());
+            State_->Upstreams_.recordLeaving(*Leaving);
           co_return;
         }
       co_await boost::asio::post(Context_, boost::asio::use_awaitable);
