Wait for a second report of an upstream whose entry was removed

Cause: that report has the highest sequence of its run, so the order of reports doesn't tell it from one of an upstream that registers again. One that registers again reports in each interval, the last report of one that has left stays alone: within 10 s of a removal an entry of the same run counts only once a later one has followed. After longer a write is no longer late.

Ruled out: keeping such upstreams out for 10 s; one that lost its entry and registers again would be missing for as long.

--- a/src/libs/traffic/upstreamrun.h
+++ b/src/libs/traffic/upstreamrun.h
@@ -19,6 +19,10 @@
   std::int64_t StartedUnixMs_ = 0;
   /// Highest sequence number of its entries.
   std::optional<std::int64_t> Sequence_;
+  /// When the upstream's entry was removed; std::nullopt while it is listed.
+  std::optional<base::TimePoint> RemovedAt_;
+  /// Sequence number of the first entry since then.
+  std::optional<std::int64_t> SequenceSinceRemoval_;
   /// Time of the last entry that was not outdated.
   base::TimePoint LastEntryAt_{};
   /// Time at which the upstream was last known to be listed.
--- a/src/libs/traffic/upstreamruns.cpp
+++ b/src/libs/traffic/upstreamruns.cpp
@@ -29,24 +29,45 @@
   if (AreStartsKnown && Entry.StartedUnixMs_ > Run.StartedUnixMs_)
     return EntryOrder::NewRun;
   if (AreStartsKnown && Entry.StartedUnixMs_ == Run.StartedUnixMs_)
-    return HasLowerSequence ? EntryOrder::Outdated : EntryOrder::SameRun;
+    return HasLowerSequence ? EntryOrder::Outdated
+                            : orderInRun(Run, Entry, Now);
   // Without starts, a run that counts anew or no longer leaves is another one.
   // The clock may also have been set back between two starts. An older report
   // looks the same, but comes within the span after a newer one.
   const bool IsOtherRun = AreStartsKnown || HasLowerSequence ||
                           (Run.HasReportedDraining_ && !Entry.IsDraining_);
   if (!IsOtherRun)
-    return EntryOrder::SameRun;
+    return orderInRun(Run, Entry, Now);
   return Now - Run.LastEntryAt_ > LateWriteSpan ? EntryOrder::NewRun
                                                 : EntryOrder::Outdated;
 }
 
+// An upstream that registers again reports in each interval. The last report of
+// one that has left may be performed after its entry was removed, and no other
+// follows.
+EntryOrder UpstreamRuns::orderInRun(const UpstreamRun &Run,
+                                    const UpstreamEntry &Entry,
+                                    base::TimePoint Now) {
+  const bool MayBeLate = Run.RemovedAt_ && Entry.Sequence_ &&
+                         Now - *Run.RemovedAt_ <= LateWriteSpan;
+  const bool IsFollowUp =
+      Run.SequenceSinceRemoval_ && Entry.Sequence_ > Run.SequenceSinceRemoval_;
+  return MayBeLate && !IsFollowUp ? EntryOrder::Unconfirmed
+                                  : EntryOrder::SameRun;
+}
+
 UpstreamRunPtr UpstreamRuns::record(const UpstreamEntry &Entry,
                                     base::TimePoint Now) {
-  const bool IsNewRun = orderOf(Entry, Now) == EntryOrder::NewRun;
+  const EntryOrder Order = orderOf(Entry, Now);
   UpstreamRunPtr &Run = Newest_[Entry.Name_];
-  if (IsNewRun)
+  if (Order == EntryOrder::Unconfirmed) {
+    Run->Sequence_ = Run->SequenceSinceRemoval_ = Entry.Sequence_;
+    return nullptr;
+  }
+  if (Order == EntryOrder::NewRun)
     Run = UpstreamRunPtr(new UpstreamRun);
+  Run->RemovedAt_.reset();
+  Run->SequenceSinceRemoval_.reset();
   Run->StartedUnixMs_ = std::max(Run->StartedUnixMs_, Entry.StartedUnixMs_);
   if (Entry.Sequence_)
     Run->Sequence_ = Entry.Sequence_;
@@ -56,6 +77,15 @@
   return Run;
 }
 
+void UpstreamRuns::recordRemoval(const base::UpstreamName &Name,
+                                 base::TimePoint Now) {
+  const auto Run = Newest_.find(Name);
+  if (Run == Newest_.end())
+    return;
+  Run->second->RemovedAt_ = Now;
+  Run->second->SequenceSinceRemoval_.reset();
+}
+
 void UpstreamRuns::expire(
     const std::function<bool(const base::UpstreamName &)> &IsListed,
     base::TimePoint Now) {
--- a/src/libs/traffic/upstreamruns.h
+++ b/src/libs/traffic/upstreamruns.h
@@ -13,6 +13,9 @@
 enum class EntryOrder {
   /// Older than what is known: it changes nothing.
   Outdated,
+  /// The first one of a run since its entry was removed: it counts only once a
+  /// later one follows.
+  Unconfirmed,
   /// Of the run that is known.
   SameRun,
   /// Of a later run, or of the first one.
@@ -29,14 +32,21 @@
   /// Compares an entry with what is known.
   EntryOrder orderOf(const UpstreamEntry &Entry, base::TimePoint Now) const;
 
-  /// Records an entry that is not outdated. Returns its run.
+  /// Records an entry that is not outdated. Returns its run, or null if the
+  /// entry is unconfirmed.
   UpstreamRunPtr record(const UpstreamEntry &Entry, base::TimePoint Now);
 
+  /// Records that the entry of an upstream was removed.
+  void recordRemoval(const base::UpstreamName &Name, base::TimePoint Now);
+
   /// Forgets runs that have not been listed for long.
   void expire(const std::function<bool(const base::UpstreamName &)> &IsListed,
               base::TimePoint Now);
 
 private:
+  static EntryOrder orderInRun(const UpstreamRun &Run,
+                               const UpstreamEntry &Entry, base::TimePoint Now);
+
   std::map<base::UpstreamName, UpstreamRunPtr> Newest_;
 };
 
--- a/src/libs/traffic/upstreamtable.cpp
+++ b/src/libs/traffic/upstreamtable.cpp
@@ -21,9 +21,11 @@
 
 bool UpstreamTable::put(const UpstreamEntry &Entry, base::TimePoint Now,
                         base::Duration MinColdTime, bool IsFresh) {
-  if (isOutdated(Entry, Now))
+  if (orderOf(Entry, Now) == EntryOrder::Outdated)
     return false;
   const UpstreamRunPtr Run = Runs_.record(Entry, Now);
+  if (!Run)
+    return false;
   RemovedInGrace_.erase(Entry.Name_);
   UpstreamPtr &Upstream = Upstreams_[Entry.Name_];
   const bool IsNew = !Upstream || Upstream->Run_ != Run ||
@@ -66,6 +68,7 @@
     RemovedInGrace_.insert(Name);
     return;
   }
+  Runs_.recordRemoval(Name, Now);
   eraseEntry(Name);
   rebuildGroups();
 }
@@ -88,8 +91,10 @@
       Now);
   if (RemovedInGrace_.empty() || Now < GraceUntil_)
     return;
-  for (const base::UpstreamName &Name : RemovedInGrace_)
+  for (const base::UpstreamName &Name : RemovedInGrace_) {
+    Runs_.recordRemoval(Name, Now);
     eraseEntry(Name);
+  }
   RemovedInGrace_.clear();
   rebuildGroups();
 }
--- a/src/libs/traffic/upstreamtable.h
+++ b/src/libs/traffic/upstreamtable.h
@@ -23,12 +23,13 @@
                 base::Duration GracePeriod)
       : Zones_(std::move(Zones)), GracePeriod_(GracePeriod) {}
 
-  /// Returns whether \p Entry is older than one that the table has had.
-  bool isOutdated(const UpstreamEntry &Entry, base::TimePoint Now) const {
-    return Runs_.orderOf(Entry, Now) == EntryOrder::Outdated;
+  /// Compares \p Entry with what the table has had of the upstream.
+  EntryOrder orderOf(const UpstreamEntry &Entry, base::TimePoint Now) const {
+    return Runs_.orderOf(Entry, Now);
   }
 
-  /// Adds or updates an upstream, unless the entry is outdated. If the entry is
+  /// Adds or updates an upstream, unless the entry is outdated or unconfirmed.
+  /// If the entry is
   /// of another process under the same name, the upstream's state is reset, but
   /// not for how long it is cold. A process that was not in the table is taken
   /// for cold for at least \p MinColdTime. \p IsFresh is whether the entry is
--- a/src/libs/vm/statesynchronizer.cpp
+++ b/src/libs/vm/statesynchronizer.cpp
@@ -151,6 +151,17 @@
                  .add("row_version", Row.Version_));
 }
 
+void StateSynchronizer::logPassedOver(const char *Event,
+                                      const traffic::UpstreamEntry &Entry,
+                                      const store::Row &Row) {
+  State_.log(EventLine(Event)
+                 .add("upstream", Row.Key_)
+                 .add("state", Entry.IsDraining_ ? "draining" : "ready")
+                 .add("started", Entry.StartedUnixMs_)
+                 .add("sequence", Entry.Sequence_.value_or(-1))
+                 .add("row_version", Row.Version_));
+}
+
 void StateSynchronizer::applyUpstream(const store::Row &Row) {
   const auto Entry = State_.Platform_.DecodeUpstream_(Row);
   if (!Entry) {
@@ -158,16 +169,15 @@
     return;
   }
   MalformedEntries_.erase(Row.Key_);
-  if (State_.Upstreams_.isOutdated(*Entry, State_.now())) {
+  const traffic::EntryOrder Order =
+      State_.Upstreams_.orderOf(*Entry, State_.now());
+  if (Order == traffic::EntryOrder::Outdated) {
     State_.Metrics_.OutdatedEntries_.add();
-    State_.log(EventLine("upstream-entry-outdated")
-                   .add("upstream", Row.Key_)
-                   .add("state", Entry->IsDraining_ ? "draining" : "ready")
-                   .add("started", Entry->StartedUnixMs_)
-                   .add("sequence", Entry->Sequence_.value_or(-1))
-                   .add("row_version", Row.Version_));
+    logPassedOver("upstream-entry-outdated", *Entry, Row);
     return;
   }
+  if (Order == traffic::EntryOrder::Unconfirmed)
+    logPassedOver("upstream-entry-unconfirmed", *Entry, Row);
   const traffic::UpstreamPtr Previous = State_.Upstreams_.find(Entry->Name_);
   const bool WasDraining = Previous && Previous->Entry_.IsDraining_;
   const bool WasCold = Previous && Previous->isCold(State_.now());
--- a/src/libs/vm/statesynchronizer.h
+++ b/src/libs/vm/statesynchronizer.h
@@ -25,6 +25,9 @@
   void replaceUpstreams(const std::vector<store::Row> &Rows);
   void applyUpstreamRows(const std::vector<store::Row> &Rows);
   void applyUpstream(const store::Row &Row);
+  /// Logs an entry that changes nothing for now.
+  void logPassedOver(const char *Event, const traffic::UpstreamEntry &Entry,
+                     const store::Row &Row);
   /// Removes the upstream whose entry cannot be decoded.
   void removeMalformed(const store::Row &Row);
   /// Returns for how long an upstream is at least taken for cold if it was not
--- a/tests/platform/latereporttest.cpp
+++ b/tests/platform/latereporttest.cpp
@@ -113,6 +113,39 @@
   });
 }
 
+// The last report of an upstream that left without announcing it has a higher
+// sequence than all that were read.
+BOOST_AUTO_TEST_CASE(singleReportDoesNotBringBackRemovedUpstream) {
+  for (const std::int64_t Started : {0, 1774968465}) {
+    LateReportFixture Vm(Started);
+    Vm.play([&Vm] {
+      Vm.hear("ready", 7);
+      Vm.hearRemoval();
+      Vm.Clock_.advance(4s);
+      const store::Row Late = Vm.rowOf("one", "ready", 8);
+      Vm.hear(Late);
+      BOOST_TEST(!Vm.isUsable());
+      // The whole table is read again.
+      Vm.hear({"one", Late.Value_, ++Vm.Version_, false});
+      BOOST_TEST(!Vm.isUsable());
+    });
+  }
+}
+
+BOOST_AUTO_TEST_CASE(upstreamThatRegistersAgainIsUsedFromItsSecondReport) {
+  play([this] {
+    hear("ready", 7);
+    hearRemoval();
+    hear("ready", 9);
+    hear("ready", 10);
+    BOOST_TEST(isUsable());
+    hearRemoval();
+    Clock_.advance(11s);
+    hear("ready", 11);
+    BOOST_TEST(isUsable());
+  });
+}
+
 BOOST_AUTO_TEST_CASE(runWithLaterStartIsUsedAtOnce) {
   play([this] {
     Started_ = 1000;
