Take removals for real after an outage that only this VM saw

Cause: entries expire while no upstream can renew them, so removals are delayed after an outage. "I did not reach the store" was read as "nobody did". Reports already say how old the other VMs' news of the store is; while it comes without a gap the store was there, and a removal counts at once. If it was away for all, or if no other VM is heard, removals are delayed as before.

The logged line store-returned says for whom it was away.

--- a/src/libs/vm/statesynchronizer.cpp
+++ b/src/libs/vm/statesynchronizer.cpp
@@ -30,17 +30,16 @@
              publishEvacuations();
              State_.StoreNews_.recordEvacuations(Now);
            }}),
-      UpstreamFollower_(State, State.Platform_.UpstreamTable_, UpstreamPace,
-                        {[this](const auto &Rows) { replaceUpstreams(Rows); },
-                         [this](const auto &Rows) { applyUpstreamRows(Rows); },
-                         nullptr,
-                         [this](base::TimePoint Since) {
-                           State_.Upstreams_.recordStoreReturn(Since);
-                         },
-                         nullptr, true,
-                         [this](base::TimePoint Now) {
-                           State_.StoreNews_.recordUpstreams(Now);
-                         }}) {}
+      UpstreamFollower_(
+          State, State.Platform_.UpstreamTable_, UpstreamPace,
+          {[this](const auto &Rows) { replaceUpstreams(Rows); },
+           [this](const auto &Rows) { applyUpstreamRows(Rows); }, nullptr,
+           [this](base::TimePoint Since) { State_.recordStoreReturn(Since); },
+           nullptr, true,
+           [this](base::TimePoint Now) {
+             State_.StoreNews_.recordUpstreams(Now);
+             State_.StoreAvailability_.recordNews(Now);
+           }}) {}
 
 void StateSynchronizer::start() {
   using boost::asio::co_spawn;
--- a/src/libs/vm/vmstate.cpp
+++ b/src/libs/vm/vmstate.cpp
@@ -171,7 +171,19 @@
   return StoreNews_.age(now()) < MaxFreshNewsAge;
 }
 
+void VmState::recordStoreReturn(base::TimePoint Since) {
+  const base::TimePoint AvailableSince = StoreAvailability_.since();
+  const bool WasAvailable = AvailableSince + StoreReturnGrace <= Since;
+  if (!WasAvailable)
+    Upstreams_.recordStoreReturn(Since);
+  log(telemetry::EventLine("store-returned")
+          .add("for", WasAvailable ? "this-vm" : "all")
+          .add("available_ms", (now() - AvailableSince).count() / 1000));
+}
+
 void VmState::recordReport(const traffic::MemberReport &Report) {
+  if (Report.StoreNewsAge_)
+    StoreAvailability_.recordNews(now() - *Report.StoreNewsAge_);
   for (const traffic::UpstreamPtr &Upstream :
        Upstreams_.applyReportedLimits(Report.Limits_, now()))
     logNamedLimit(*Upstream, "by", Report.Name_);
--- a/src/libs/vm/vmstate.h
+++ b/src/libs/vm/vmstate.h
@@ -13,6 +13,7 @@
 #include "traffic/membertable.h"
 #include "traffic/relaypeerselector.h"
 #include "traffic/retrybudget.h"
+#include "traffic/storeavailability.h"
 #include "traffic/storenews.h"
 #include "traffic/trafficsplitter.h"
 #include "traffic/upstreamreachability.h"
@@ -57,6 +58,11 @@
   /// so that what it learns now is new to the fleet.
   bool hasFreshStoreNews() const;
 
+  /// Handles the return of the store after this VM did not reach it, at \p
+  /// Since. Upstreams whose entries expired meanwhile may register again,
+  /// unless the store was available to other VMs.
+  void recordStoreReturn(base::TimePoint Since);
+
   /// Applies a report of another VM.
   void recordReport(const traffic::MemberReport &Report);
 
@@ -97,6 +103,8 @@
   traffic::KeyFreshness PlanTrust_;
   /// Age of the VM's knowledge of upstreams and evacuated zones.
   traffic::StoreNews StoreNews_;
+  /// Since when any VM has had news of the store.
+  traffic::StoreAvailability StoreAvailability_;
   traffic::UpstreamTable Upstreams_;
   traffic::MemberTable Members_;
   traffic::IsolationDetector Isolation_;
--- a/tests/libs/vm/fakestore.h
+++ b/tests/libs/vm/fakestore.h
@@ -21,6 +21,8 @@
 struct FakeHistory {
   std::int64_t Position_ = 0;
   bool IsGone_ = false;
+  /// Whether the store gives no answer.
+  bool IsUnreachable_ = false;
   /// Answers of the next reads of changes.
   std::deque<store::Rows> Changes_;
 };
@@ -67,8 +69,11 @@
 private:
   store::RowsResult readHistory() {
     store::RowsResult Result;
-    Result.Status_ = History_->IsGone_ ? store::StoreStatus::HistoryGone
-                                       : store::StoreStatus::Done;
+    Result.Status_ = History_->IsUnreachable_ ? store::StoreStatus::NoAnswer
+                     : History_->IsGone_      ? store::StoreStatus::HistoryGone
+                                              : store::StoreStatus::Done;
+    if (History_->IsUnreachable_)
+      return Result;
     Result.Rows_.Version_ = History_->Position_;
     if (!History_->IsGone_ && !History_->Changes_.empty()) {
       Result.Rows_ = History_->Changes_.front();
