Give a process that has just started no part of the slack for retries

Seen by upstreams: while VMs started again amid trouble, more requests were retried than the fleet may retry (BUDGET).

Cause: a process took itself for the only VM, with the slack of the whole fleet, until it had heard of others, and then spent its share once more, whatever its predecessor had spent. The slack is now used only once the VMs that the store lists, heard of or not, have been known for a whole window; what an earlier process spent counts no longer then. The part that grows with a VM's own requests is used from the start.

--- a/src/libs/traffic/retrybudget.cpp
+++ b/src/libs/traffic/retrybudget.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-// Fraction of the fleet's budget that is used. The rest allows for VMs that
-// restart with empty counts and for requests at the edge of a window.
+// Fraction of the fleet's budget that is used. The rest allows for VMs with
+// different views of the fleet and for requests at the edge of a window.
 constexpr double UsableShare = 0.7;
 
 // Time for which VMs that are no longer heard of keep their part of the slack;
@@ -19,10 +19,18 @@
 void RetryBudget::setVmCount(std::size_t Count, base::TimePoint Now) {
   if (Count < VmCount_ && Now - VmCountSeenAt_ < SilentVmDuration)
     return;
+  if (VmCount_ == 0)
+    VmCountKnownSince_ = Now;
   VmCount_ = std::max<std::size_t>(Count, 1);
   VmCountSeenAt_ = Now;
 }
 
+double RetryBudget::slackShare(base::TimePoint Now) const {
+  if (VmCount_ == 0 || Now - VmCountKnownSince_ < Window_)
+    return 0;
+  return Slack_ / static_cast<double>(VmCount_);
+}
+
 void RetryBudget::expire(std::deque<base::TimePoint> &Times,
                          base::TimePoint Now) const {
   while (!Times.empty() && Now - Times.front() > Window_)
@@ -44,7 +52,7 @@
   const double Allowed =
       UsableShare *
       (Ratio_ * static_cast<double>(ServiceCounts.Requests_.size()) +
-       Slack_ / static_cast<double>(VmCount_));
+       slackShare(Now));
   if (static_cast<double>(ServiceCounts.Retries_.size()) + 1 > Allowed)
     return false;
   ServiceCounts.Retries_.push_back(Now);
--- a/src/libs/vm/vmstate.cpp
+++ b/src/libs/vm/vmstate.cpp
@@ -229,10 +229,12 @@
 void VmState::updateFleetView() {
   const base::TimePoint Now = now();
   const std::vector<const traffic::MemberReport *> Live = Members_.live(Now);
-  if (Members_.isListKnown())
-    ColdLimiter_.setOtherVms(Members_.sharingNames(Now), Now);
+  if (Members_.isListKnown()) {
+    const std::vector<std::string> Others = Members_.sharingNames(Now);
+    ColdLimiter_.setOtherVms(Others, Now);
+    Budget_.setVmCount(Others.size() + 1, Now);
+  }
   RateLimiter_.setOtherVms(Live);
-  Budget_.setVmCount(Live.size() + 1, Now);
   Upstreams_.setInFlightElsewhere(Members_.inFlightElsewhere(Now));
 }
 
--- a/tests/libs/traffic/attempttallytest.cpp
+++ b/tests/libs/traffic/attempttallytest.cpp
@@ -26,7 +26,11 @@
   RouteSettings Route_;
   std::unique_ptr<Job> Job_ = job(1, at(0s));
 
-  Fixture() { Route_.MaxAttempts_ = 3; }
+  Fixture() {
+    Route_.MaxAttempts_ = 3;
+    // The slack is used once the fleet has been known for a window.
+    Budget_.setVmCount(1, at(-10s));
+  }
 
   bool retriesAfter(AttemptResult Result) {
     Attempts_.recordResult(Result);
@@ -88,6 +92,7 @@
   Table_.put(upstream("u2", "east-a", 4), at(0s));
   // Ratio 0, and a slack of 3 of which 70% is used: two retries.
   RetryBudget Budget(0, 3, 10s);
+  Budget.setVmCount(1, at(-10s));
   AttemptTally Attempts(Budget, Dispatcher_);
   const Placement Sent = Dispatcher_.submit(Job_, at(0s));
   Dispatcher_.beginAttempt(Sent, *Job_, at(0s));
--- a/tests/libs/vm/daemonfleetfixture.h
+++ b/tests/libs/vm/daemonfleetfixture.h
@@ -94,6 +94,8 @@
     Settings.PeerPort_ = PeerPort;
     FleetBounds Bounds;
     Bounds.RetrySlack_ = 100;
+    // The slack is used a window after the start.
+    Bounds.RetryWindow_ = std::chrono::milliseconds(200);
     Bounds.StopGrace_ = StopGrace_;
     Made.State_ = std::make_unique<VmState>(Context_, Clock_, Settings, Bounds,
                                             std::move(Binding), 1);
--- a/tests/libs/vm/requestpathfixture.h
+++ b/tests/libs/vm/requestpathfixture.h
@@ -94,6 +94,9 @@
       Adjust(Binding);
     State_ = std::make_unique<VmState>(Context_, Clock_, Settings, Bounds,
                                        Binding, 1);
+    // Retries may use their slack from the start.
+    State_->Budget_.setVmCount(1, Clock_.now());
+    Clock_.advance(Bounds.RetryWindow_);
     AsyncDispatcher_ = std::make_unique<AsyncDispatcher>(*State_);
     Admission_ = std::make_unique<QuotaAdmission>(
         *State_, [](const std::string &, const peers::TokenAsk &) {});
