Take a gap in the fleet's news of the store for an outage while it lasts

The question is now asked with the present time: if no VM had news lately, the store counts as available from now on.

--- a/src/libs/traffic/storeavailability.h
+++ b/src/libs/traffic/storeavailability.h
@@ -21,8 +21,11 @@
     Newest_ = std::max(Newest_, At);
   }
 
-  /// Returns since when news has come without a longer gap than usual.
-  base::TimePoint since() const { return Since_; }
+  /// Returns since when news has come without a longer gap than usual; \p Now
+  /// if none came lately.
+  base::TimePoint since(base::TimePoint Now) const {
+    return Now - Newest_ > MaxGap ? Now : Since_;
+  }
 
 private:
   /// Longer than the time between two reports that are based on different
--- a/src/libs/vm/vmstate.cpp
+++ b/src/libs/vm/vmstate.cpp
@@ -172,7 +172,7 @@
 }
 
 void VmState::recordStoreReturn(base::TimePoint Since) {
-  const base::TimePoint AvailableSince = StoreAvailability_.since();
+  const base::TimePoint AvailableSince = StoreAvailability_.since(now());
   const bool WasAvailable = AvailableSince + StoreReturnGrace <= Since;
   if (!WasAvailable)
     Upstreams_.recordStoreReturn(Since);
