--- a/tests/processes/fleet.py
+++ b/tests/processes/fleet.py
@@ -158,6 +158,8 @@
                 else:
                     await vm.wait()
                     await vm.start()
+                self.untouched_until[vm.name] = self.now() + STABILITY_S
+                self.told = {pair: at for pair, at in self.told.items() if pair[0] != vm.name}
             await asyncio.sleep(self.options.gap)
 
     async def leave(self, upstream):
@@ -226,7 +228,7 @@
         for arrivals in self.arrivals.values():
             for moment, request_id, name in arrivals:
                 drain = DRAIN_S[self.options.shape]
-                # A VM that the store turned away need not know.
+                # A VM that was turned away, killed or paused shortly before need not know.
                 knows = self.sent_at.get(request_id, 0) > self.untouched_until.get(self.vm_of.get(request_id), 0)
                 if knows and name in self.left and moment > self.left[name] + drain:
                     late += 1
