Encode what is put into calls to the store, and read its tables forward only

Cause: StoreClient::readAll joined the last key of a page into the next call as it was. The store read another parameter or none and sent the first page again; nothing checked that a page goes beyond the one before, so that the VM read the same page without end and kept its rows. Names that make the call malformed got 400 at each try. Keys in the bodies of writes and the addresses of the directory were joined in the same way.

Now one encoder, httpwire::encodeQueryValue, serves both clients of a store, the JSON library writes texts in bodies, and a whole read ends at a page without progress and at 64 MiB of rows.

Ruled out: the entry's value (unreadable and valid ones behave alike).

--- a/src/libs/platform/platformclient.cpp
+++ b/src/libs/platform/platformclient.cpp
@@ -1,11 +1,11 @@
 #include "platform/platformclient.h"
 
+#include "httpwire/queryvalue.h"
 #include "json/jsontext.h"
 
 #include <Poco/Exception.h>
 #include <Poco/JSON/Array.h>
 #include <Poco/JSON/Object.h>
-#include <Poco/URI.h>
 
 namespace ebony::platform {
 
@@ -21,12 +21,6 @@
 constexpr int StatusNotFound = 404;
 constexpr int StatusBadRequest = 400;
 
-std::string encode(const std::string &Text) {
-  std::string Result;
-  Poco::URI::encode(Text, "!?#/'\",;:$&()[]*+=@", Result);
-  return Result;
-}
-
 std::string toJsonText(const config::TableTransaction &Transaction) {
   Array::Ptr Conditions = new Array;
   for (const auto &Expected : Transaction.Conditions_) {
@@ -118,8 +112,8 @@
 }
 
 TableReply PlatformClient::row(const std::string &Key) {
-  const auto Answer =
-      Client_.send({"GET", "/v1/table/row?key=" + encode(Key), "", {}});
+  const auto Answer = Client_.send(
+      {"GET", "/v1/table/row?key=" + httpwire::encodeQueryValue(Key), "", {}});
   if (!Answer)
     return makeReply(TableOutcome::Unavailable);
   if (Answer->Status_ == StatusNotFound) {
@@ -138,12 +132,13 @@
 
 TableReply PlatformClient::scan(const std::string &Prefix,
                                 const std::string &After, std::size_t Limit) {
-  const auto Answer = Client_.send({"GET",
-                                    "/v1/table/rows?prefix=" + encode(Prefix) +
-                                        "&after=" + encode(After) +
-                                        "&limit=" + std::to_string(Limit),
-                                    "",
-                                    {}});
+  const auto Answer = Client_.send(
+      {"GET",
+       "/v1/table/rows?prefix=" + httpwire::encodeQueryValue(Prefix) +
+           "&after=" + httpwire::encodeQueryValue(After) +
+           "&limit=" + std::to_string(Limit),
+       "",
+       {}});
   if (!Answer || Answer->Status_ != StatusOk)
     return makeReply(TableOutcome::Unavailable);
   return parseReply(Answer->Body_, [](const Object::Ptr &Body) {
@@ -154,14 +149,15 @@
 }
 
 bool PlatformClient::put(const std::string &Name, const std::string &Bytes) {
-  const auto Answer =
-      Client_.send({"PUT", "/v1/objects/" + encode(Name), Bytes, {}});
+  const auto Answer = Client_.send(
+      {"PUT", "/v1/objects/" + httpwire::encodeQueryValue(Name), Bytes, {}});
   return Answer &&
          (Answer->Status_ == StatusNoContent || Answer->Status_ == StatusOk);
 }
 
 std::optional<std::string> PlatformClient::get(const std::string &Name) {
-  auto Answer = Client_.send({"GET", "/v1/objects/" + encode(Name), "", {}});
+  auto Answer = Client_.send(
+      {"GET", "/v1/objects/" + httpwire::encodeQueryValue(Name), "", {}});
   if (!Answer || Answer->Status_ != StatusOk)
     return std::nullopt;
   return std::move(Answer->Body_);
--- a/src/libs/store/rowstore.h
+++ b/src/libs/store/rowstore.h
@@ -19,6 +19,9 @@
 struct RowsResult {
   StoreStatus Status_ = StoreStatus::NoAnswer;
   Rows Rows_;
+  /// What is wrong with an answer that cannot be read; empty if none came or
+  /// it can be read.
+  std::string Problem_;
 };
 
 /// Interface to the transactional table service. Only one call per object may
--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -1,5 +1,6 @@
 #include "platform/storeclient.h"
 #include "asynckit/awaiting.h"
+#include "platform/jsonaccess.h"
 #include "store/position.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -151,4 +152,37 @@
   BOOST_TEST((write(store::makePosition(2, 9)) == StoreStatus::Done));
 }
 
+// A store that sends the same page again and again, whatever is asked for.
+BOOST_AUTO_TEST_CASE(wholeReadEndsAtPageWithoutProgress) {
+  const std::string Row = R"({"key":"k1","value":"","versionNumber":7})";
+  const std::string Rest = R"(],"hasMore":true,"versionNumber":9})";
+  for (const std::string &Later :
+       {Row, std::string(), std::string(R"({"key":"j","versionNumber":7})")}) {
+    Targets_.clear();
+    Answers_.clear();
+    answer(0, R"({"rows":[)" + Row + Rest);
+    constexpr int Copies = 50;
+    for (int I = 0; I < Copies; ++I)
+      answer(0, R"({"rows":[)" + Later + Rest);
+    const store::RowsResult Result = run(Client_.readAll("t"));
+    BOOST_TEST(isStatus(Result, StoreStatus::Malformed), Later);
+    BOOST_TEST(Targets_.size() == 2U, Later);
+    BOOST_TEST(!Result.Problem_.empty(), Later);
+  }
+}
+
+// Pages that make progress without end must not fill the memory.
+BOOST_AUTO_TEST_CASE(wholeReadEndsAtLimitOfTable) {
+  // 64 MiB of rows in pages of 1 MiB.
+  constexpr int MaxPages = 66;
+  const std::string Value = toBase64(std::string(1UL << 20, 'v'));
+  for (int I = 0; I < 2 * MaxPages; ++I)
+    answer(0, R"({"rows":[{"key":"k)" + std::to_string(1000 + I) +
+                  R"(","versionNumber":7,"value":")" + Value +
+                  R"("}],"hasMore":true,"versionNumber":9})");
+  const store::RowsResult Result = run(Client_.readAll("t"));
+  BOOST_TEST(isStatus(Result, StoreStatus::Malformed));
+  BOOST_TEST(Targets_.size() <= static_cast<std::size_t>(MaxPages));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
