--- a/tests/platform/oddentrytest.cpp
+++ b/tests/platform/oddentrytest.cpp
@@ -64,8 +64,12 @@
 
 // The name is sent to the upstream in a header field.
 BOOST_AUTO_TEST_CASE(entryWithOddNameNamesNoUpstream) {
-  for (const char *Key : {"", "i 1", "i\r\nX: y", "i\x7f", "i\x01"})
-    BOOST_TEST(!decode(Whole, Key).has_value());
+  for (const char *Key :
+       {"", "i 1", "i\r\nX: y", "i\x7f", "i\x01", "i&1", "i+1", "i#1", "i%31",
+        "i\"1", "i\\1", "i/1", "i?1", "i=1", "i\xc3\xa4"})
+    BOOST_TEST(!decode(Whole, Key).has_value(), Key);
+  for (const char *Key : {"i-7f3a91c2", "s_1.a~b", "10.1.0.35:8021", "I@z"})
+    BOOST_TEST(decode(Whole, Key).has_value(), Key);
 }
 
 BOOST_AUTO_TEST_CASE(deeplyNestedEntryNamesNoUpstream) {
--- a/tests/platform/oddnametest.cpp
+++ b/tests/platform/oddnametest.cpp
@@ -93,6 +93,11 @@
   checkService("\xff\x00 no entry");
 }
 
+// The name alone shows that the entry is another writer's.
+BOOST_AUTO_TEST_CASE(entryWithOddNameNamesNoUpstreamToUse) {
+  checkService(std::nullopt);
+}
+
 BOOST_AUTO_TEST_CASE(namesAreWrittenAsTheyAre) {
   boost::asio::io_context Context;
   PagingStore Store(Context, RowsPerPage);
