Read a table that can't be read less and less often

A VM that could not read the list of upstreams read it again every 0.4 s, with several calls each time, of a rate that all VMs share. The next answer is likely to be the same, so the pause now grows to 5 s. An answer that didn't come, or a refusal, is followed up as before: the return of the store has to be noticed within a fraction of a second. The log names what is wrong.

--- a/src/libs/vm/tablefollower.cpp
+++ b/src/libs/vm/tablefollower.cpp
@@ -22,6 +22,10 @@
 constexpr base::Duration MaxNonReaderRetryDelay =
     std::chrono::milliseconds(800);
 
+// Maximum delay after an answer that cannot be read: the next one is likely to
+// be the same, and each read of a whole table takes several calls.
+constexpr base::Duration MaxMalformedRetryDelay = std::chrono::seconds(5);
+
 // Interval at which a VM checks whether it has become its region's reader.
 constexpr base::Duration ReaderCheckInterval = std::chrono::milliseconds(250);
 
@@ -94,6 +98,7 @@
                                           MayLongPoll && !IsStoreUnreachable_
                                               ? pace().LongPollWait_
                                               : base::Duration::zero());
+  Problem_ = std::move(Result.Problem_);
   if (Result.Status_ != StoreStatus::Done)
     co_return Result.Status_;
   IsBehind_ = false;
@@ -224,6 +229,12 @@
   co_await PauseTimer_.async_wait(asynckit::into(Ignored));
 }
 
+base::Duration TableFollower::maxRetryDelay() const {
+  if (!Problem_.empty())
+    return MaxMalformedRetryDelay;
+  return State_.readsForRegion() ? MaxRetryDelay : MaxNonReaderRetryDelay;
+}
+
 void TableFollower::recordStatus(StoreStatus Status) {
   const bool IsReachable =
       Status == StoreStatus::Done || Status == StoreStatus::HistoryGone;
@@ -238,11 +249,11 @@
   if (!IsStoreUnreachable_)
     State_.log(EventLine("store-lost")
                    .add("table", Table_)
-                   .add("status", store::toText(Status)));
+                   .add("status", store::toText(Status))
+                   .add("problem", Problem_));
   IsStoreUnreachable_ = true;
-  RetryDelay_ = std::min(std::max(RetryDelay_ * 2, MinRetryDelay),
-                         State_.readsForRegion() ? MaxRetryDelay
-                                                 : MaxNonReaderRetryDelay);
+  RetryDelay_ =
+      std::min(std::max(RetryDelay_ * 2, MinRetryDelay), maxRetryDelay());
 }
 
 } // namespace ebony::vm
--- a/src/libs/vm/tablefollower.h
+++ b/src/libs/vm/tablefollower.h
@@ -78,6 +78,7 @@
   void replace(store::Rows Snapshot);
   asynckit::awaitable<void> pause(base::Duration Span);
   void recordStatus(store::StoreStatus Status);
+  base::Duration maxRetryDelay() const;
 
   VmState &State_;
   std::string Table_;
@@ -94,6 +95,9 @@
   base::TimePoint LastHeard_{std::chrono::hours(-1)};
   base::TimePoint StoreReturned_{std::chrono::hours(-1)};
   base::Duration RetryDelay_{};
+  /// What is wrong with the last answer of the store; empty if it could be
+  /// read.
+  std::string Problem_;
   /// Position of the last snapshot; -1 before the first one.
   std::int64_t SnapshotPosition_ = -1;
   /// Position of the store when it came back from an older copy.
--- a/tests/libs/vm/fakestore.h
+++ b/tests/libs/vm/fakestore.h
@@ -23,6 +23,9 @@
   bool IsGone_ = false;
   /// Whether the store gives no answer.
   bool IsUnreachable_ = false;
+  /// Whether whole tables cannot be read.
+  bool IsUnreadable_ = false;
+  int WholeReads_ = 0;
   /// Answers of the next reads of changes.
   std::deque<store::Rows> Changes_;
 };
@@ -42,8 +45,13 @@
     if (Entry != Rows_.end())
       Result.Rows_.Rows_ = Entry->second;
     if (History_) {
+      ++History_->WholeReads_;
       Result.Rows_.Version_ = History_->Position_;
       History_->IsGone_ = false;
+      if (History_->IsUnreadable_) {
+        Result.Status_ = store::StoreStatus::Malformed;
+        Result.Problem_ = "unreadable";
+      }
     }
     co_return Result;
   }
--- a/tests/libs/vm/tablefollowertest.cpp
+++ b/tests/libs/vm/tablefollowertest.cpp
@@ -135,4 +135,15 @@
   BOOST_TEST(ChangedRows_ == 0);
 }
 
+// Each read of a whole table takes several calls, for which all VMs share the
+// store's rate.
+BOOST_AUTO_TEST_CASE(unreadableTableIsReadLessAndLessOften) {
+  History_.IsUnreadable_ = true;
+  follow(&History_);
+  Context_.run_for(4s);
+  BOOST_TEST(History_.WholeReads_ >= 2);
+  // After 0, 0.1, 0.3, 0.7, 1.5 and 3.1 s.
+  BOOST_TEST(History_.WholeReads_ <= 6);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
