Pass over odd rows among the changes of the configuration

Rows of other writers are not deleted.

changefollowertest: the two new cases failed in 5 checks before.

--- a/src/libs/config/changefollower.cpp
+++ b/src/libs/config/changefollower.cpp
@@ -1,5 +1,6 @@
 #include "config/changefollower.h"
 
+#include <algorithm>
 #include <functional>
 
 #include "config/changecodec.h"
@@ -13,9 +14,10 @@
 
 std::optional<StoreRequest> ChangeFollower::nextRequest(base::TimePoint Now) {
   if (Step_ == Step::ReadChanges)
-    return StoreRequest::scan(ConfigKeys::changes(),
-                              ConfigKeys::change(Replica_.revision()),
-                              Settings_.ScanLimit_);
+    return StoreRequest::scan(
+        ConfigKeys::changes(),
+        std::max(ConfigKeys::change(Replica_.revision()), ScannedUntil_),
+        Settings_.ScanLimit_);
   if (Step_ == Step::ReadSnapshotRow)
     return StoreRequest::row(ConfigKeys::snapshot());
   if (Step_ == Step::ReadSnapshot)
@@ -69,15 +71,31 @@
                 : Step::ReadChanges;
 }
 
+std::string ChangeFollower::nextKey() const {
+  return ConfigKeys::change(Replica_.revision() + 1);
+}
+
 void ChangeFollower::onChanges(const TableReply &Reply) {
   const Revision Before = Replica_.revision();
   for (const TableRow &Row : Reply.Rows_) {
+    // Rows with other keys are those of another writer.
+    if (Row.Key_ != nextKey())
+      continue;
     const auto Change = ChangeCodec::decodeChange(Row.Value_);
     if (!Change)
-      return;
+      break;
     Replica_.apply(Change.value());
   }
-  // Without progress the next row has been pruned, so a snapshot is needed.
+  const bool MayFollow = !Reply.Rows_.empty() &&
+                         Reply.Rows_.back().Key_ > ScannedUntil_ &&
+                         Reply.Rows_.back().Key_ < nextKey();
+  if (MayFollow) {
+    ScannedUntil_ = Reply.Rows_.back().Key_;
+    Step_ = Step::ReadChanges;
+    return;
+  }
+  // Without progress the next row has been pruned or is damaged, so a snapshot
+  // is needed.
   if (Replica_.revision() != Before || Replica_.revision() >= Head_)
     advance();
   else if (!SnapshotTried_)
--- a/src/libs/config/changefollower.h
+++ b/src/libs/config/changefollower.h
@@ -56,6 +56,8 @@
   void onSnapshotRow(const TableReply &Reply);
   void onSnapshot(const TableReply &Reply);
   void advance();
+  /// Returns the key of the change that follows the last one applied.
+  std::string nextKey() const;
 
   ConfigReplica &Replica_;
   FollowerSettings Settings_;
@@ -65,6 +67,8 @@
   Revision AppliedAtPoll_ = 0;
   Revision Head_ = 0;
   Revision Snapshot_ = 0;
+  /// Last key of a page that ended before the next change.
+  std::string ScannedUntil_;
   bool SnapshotTried_ = false;
   std::optional<FreshnessEvidence> Evidence_;
   bool TableLostChanges_ = false;
--- a/src/libs/config/snapshotwriter.cpp
+++ b/src/libs/config/snapshotwriter.cpp
@@ -71,8 +71,10 @@
 void SnapshotWriter::onScanOld(const TableReply &Reply) {
   for (const TableRow &Row : Reply.Rows_) {
     const auto Change = ChangeCodec::decodeChange(Row.Value_);
-    if (!Change ||
-        Change.value().Revision_ > Revision_ - Settings_.KeptChanges_)
+    // Another writer's row is left alone.
+    if (!Change || Row.Key_ != ConfigKeys::change(Change.value().Revision_))
+      continue;
+    if (Change.value().Revision_ > Revision_ - Settings_.KeptChanges_)
       break;
     PrunedKeys_.push_back(Row.Key_);
     PrunedKeys_.push_back(ConfigKeys::operation(Change.value().Operation_));
--- a/tests/libs/config/changefollowertest.cpp
+++ b/tests/libs/config/changefollowertest.cpp
@@ -163,4 +163,40 @@
       ChangeCodec::encodeSnapshot(Case.Replica_.records()).substr(0, 60)));
 }
 
+// Another writer's rows stand among the changes, more of them than one page
+// holds.
+BOOST_AUTO_TEST_CASE(oddRowsAmongChangesArePassedOver) {
+  Fixture Case;
+  Case.FakeStore_.commit(1, 50);
+  for (const char *Name : {"", "&", "+", "#%", " ", "zzz"})
+    Case.FakeStore_.Rows_[ConfigKeys::changes() + Name] = "\xff no change";
+  // It reads like a later change.
+  Case.FakeStore_.Rows_[ConfigKeys::change(9) + "&x"] =
+      Case.FakeStore_.Rows_[ConfigKeys::change(11)];
+  for (int Number = 0; Number < 40; ++Number)
+    Case.FakeStore_.Rows_[ConfigKeys::change(4) + std::to_string(Number)] = "";
+  Case.poll();
+  BOOST_TEST(Case.Replica_.revision() == 50);
+  BOOST_TEST(Case.Replica_.records().size() == 50U);
+  Case.FakeStore_.commit(51, 52);
+  Case.poll();
+  BOOST_TEST(Case.Replica_.revision() == 52);
+  Case.writeSnapshot();
+  BOOST_TEST(Case.FakeStore_.Rows_.count(ConfigKeys::change(20)) == 0U);
+  BOOST_TEST(Case.FakeStore_.Rows_.count(ConfigKeys::change(9) + "&x") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(snapshotReplacesDamagedChange) {
+  Fixture Writer;
+  Writer.FakeStore_.commit(1, 15);
+  Writer.poll();
+  Writer.writeSnapshot();
+  Writer.FakeStore_.Rows_[ConfigKeys::change(7)] = "\xff";
+  Writer.FakeStore_.commit(16, 18);
+  Fixture Late;
+  Late.FakeStore_ = Writer.FakeStore_;
+  Late.poll();
+  BOOST_TEST(Late.Replica_.revision() == 18);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
