Answer 400 to unencoded bytes in the stand-ins

POCO's URI reads bytes that no URL may hold as the client may have meant them, so a client of the stand-in store that encodes too little went unnoticed. That is how the fault of the platform's client could stay hidden in its own tests.

--- a/src/libs/standin/httpcall.h
+++ b/src/libs/standin/httpcall.h
@@ -14,7 +14,8 @@
 class HttpCall {
 public:
   /// \p Target is the percent-encoded request target with its query;
-  /// \p Caller is the IP address of the caller.
+  /// \p Caller is the IP address of the caller. Throws Poco::SyntaxException if
+  /// the target holds a byte that has to be encoded.
   HttpCall(std::string Method, std::string Target, std::string Caller,
            std::vector<HttpHeader> Headers = {});
 
--- a/tests/libs/platformstandin/platformservicetest.cpp
+++ b/tests/libs/platformstandin/platformservicetest.cpp
@@ -55,4 +55,17 @@
              R"({"committed":true,"version":2})");
 }
 
+// A client that encodes too little is told, even where its call can be guessed.
+BOOST_AUTO_TEST_CASE(refusesUnencodedBytes) {
+  for (const char *Key : {"a#b", "a%b", "a%2", "a\"b", "a<b", "a|b", "a\x7f",
+                          "a\xc3\xa4", "a[b]", "a\\b", "a^b", "a`b", "a{b}"})
+    BOOST_CHECK_THROW(
+        standin::HttpCall("GET", std::string("/v1/table/row?key=") + Key, ""),
+        Poco::SyntaxException);
+  BOOST_TEST(send("GET", "/v1/table/row?key=a%b", "").find("unencoded") !=
+             std::string::npos);
+  const standin::HttpCall Call("GET", "/v1/table/row?key=a%26b%25%20%FF", "");
+  BOOST_TEST(Call.query("key") == "a&b% \xff");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
