Don't take a body that ends during the upload for a whole one

Callers got the part of a 200 that had arrived as a complete answer, when an upstream answered a long upload at once without a length, sent a part and reset the connection while the upload was still being written.

Cause: such a body ends with its connection. On Linux a reset is reported once, to the operation that meets it first; during an upload that is the write, and the next read sees a plain end. The attempt looked at the read alone.

Now the end of the connection ends a body only if the whole request had been sent without an error by then. Else the caller gets 502, or a part that has been passed on stays without its end. The head of a refusal says by itself that the request didn't run, so that a refusal that is cut in this way is still passed on as one.

A connection that ends after the upload has been read still ends the body (responseThatEndsAfterTheUploadIsWhole).

Why it works: a write that met the reset has failed, or is still pending, when the read sees the end, so no order of the two hides it. The price: an upstream that ends its side early and reads on can't be told from one that was reset.

--- a/src/libs/traffic/attemptresult.h
+++ b/src/libs/traffic/attemptresult.h
@@ -32,6 +32,11 @@
          Result == AttemptResult::Withheld;
 }
 
+/// Returns whether the upstream stated that it did not execute the request.
+constexpr bool wasRejected(AttemptResult Result) {
+  return Result == AttemptResult::Shed || Result == AttemptResult::Misdirected;
+}
+
 } // namespace ebony::traffic
 
 #endif
--- a/src/libs/traffic/attempttally.cpp
+++ b/src/libs/traffic/attempttally.cpp
@@ -30,9 +30,7 @@
                             base::TimePoint Now) {
   if (wasNothingSent(Result))
     return UnsentCount_ < MaxUnsent;
-  const bool WasNotExecuted =
-      Result == AttemptResult::Shed || Result == AttemptResult::Misdirected;
-  if (!WasNotExecuted && Request.RetryPolicy_ != RetryPolicy::Idempotent)
+  if (!wasRejected(Result) && Request.RetryPolicy_ != RetryPolicy::Idempotent)
     return false;
   if (Attempts_ >= Route.MaxAttempts_ || HasUnbufferedBody ||
       Now >= Request.Deadline_)
--- a/src/libs/vm/upstreamattempt.cpp
+++ b/src/libs/vm/upstreamattempt.cpp
@@ -118,18 +118,24 @@
   while (!Parser_->is_done() && Body_.size() < MaxBufferedBody) {
     const bool IsRead = co_await readInto(Body_);
     if (!IsRead)
-      co_return failureResult();
+      co_return traffic::wasRejected(headResult()) && !IsAbandoned_
+          ? headResult()
+          : failureResult();
   }
   if (Parser_->is_done())
     Timer_.disarm();
+  co_return headResult();
+}
+
+AttemptResult UpstreamAttempt::headResult() const {
   constexpr unsigned Misdirected = 421;
+  constexpr unsigned FirstServerError = 500;
   if (status() == Misdirected)
-    co_return AttemptResult::Misdirected;
+    return AttemptResult::Misdirected;
   if (!valueOf(fields(), Names_.NotRun_).empty())
-    co_return AttemptResult::Shed;
-  constexpr unsigned FirstServerError = 500;
-  co_return status() >= FirstServerError ? AttemptResult::Failed
-                                         : AttemptResult::Answered;
+    return AttemptResult::Shed;
+  return status() >= FirstServerError ? AttemptResult::Failed
+                                      : AttemptResult::Answered;
 }
 
 void UpstreamAttempt::armTimer() {
@@ -323,7 +329,11 @@
   Piece.resize(Before + PieceBytes - Target.size);
   if (Error == http::error::need_buffer)
     Error = {};
-  co_return !Error;
+  // The kernel reports a reset once, so after a failed write it looks like the
+  // orderly end of the connection, which ends a body without a length.
+  IsCut_ = Parser_->is_done() && Parser_->need_eof() &&
+           (IsSending_ || HasSendFailed_);
+  co_return !Error && !IsCut_;
 }
 
 awaitable<bool> UpstreamAttempt::readMore(std::string &Piece) {
--- a/src/libs/vm/upstreamattempt.h
+++ b/src/libs/vm/upstreamattempt.h
@@ -78,7 +78,7 @@
   unsigned status() const { return Parser_->get().result_int(); }
   std::string_view reason() const;
   const std::string &body() const { return Body_; }
-  bool isComplete() const { return Parser_ && Parser_->is_done(); }
+  bool isComplete() const { return Parser_ && Parser_->is_done() && !IsCut_; }
   bool wasSent() const { return WasSent_; }
   /// Returns whether the attempt opened a new connection.
   bool hasOpenedConnection() const { return HasOpenedConnection_; }
@@ -99,6 +99,8 @@
   asynckit::awaitable<bool> readHead(const CallerRequest &Request);
   asynckit::awaitable<bool> readInto(std::string &Piece);
   std::string encodeHead(const CallerRequest &Request, bool IsChunked) const;
+  /// Returns the result that the head of the response tells.
+  traffic::AttemptResult headResult() const;
   traffic::AttemptResult failureResult() const;
 
   const HeaderNames &Names_;
@@ -111,6 +113,9 @@
   std::string UnsentBody_;
   bool IsSending_ = false;
   bool HasSendFailed_ = false;
+  /// Whether the connection ended while the request was still being sent, and
+  /// only its end marked that of the response.
+  bool IsCut_ = false;
   bool WasSent_ = false;
   bool HasOpenedConnection_ = false;
   bool IsAbandoned_ = false;
