Take no answer whose head the protocol doesn't have

Callers got answers with the status 000, or what stood behind or in the body of such a head: everything below 200 counted as an interim response, after which the next one is read, 000 and 101 too, and nothing checked what lies above 599. A transfer coding that wasn't asked for was taken off the head and its body passed on as the plain one.

Now httpwire::ResponseParser, the parser that both data paths are to use, tells interim, final and invalid heads apart. Of an invalid one nothing is believed; the connection is closed, and the caller gets 502 or, where the route allows it, the answer of another upstream.

Odd names of fields (blanks, control bytes), two lengths, odd chunks and cut answers were refused already: those rows stay as tests.

--- a/src/libs/vm/upstreamattempt.cpp
+++ b/src/libs/vm/upstreamattempt.cpp
@@ -33,12 +33,6 @@
 // before it has read them.
 constexpr std::size_t MaxInlineBody = 16UL * 1024;
 
-// Largest head of a response.
-constexpr std::uint32_t MaxHeadBytes = 32UL * 1024;
-
-// Responses are streamed, so their body needs no limit.
-constexpr std::uint64_t MaxBodyBytes = UINT64_MAX;
-
 // Number of responses to earlier requests that are skipped before the attempt
 // fails.
 constexpr int MaxStaleResponses = 3;
@@ -47,9 +41,6 @@
 // in trouble may send without end.
 constexpr std::size_t MaxStaleBytes = 256UL * 1024;
 
-// Number of interim responses (1xx) that are skipped before the attempt fails.
-constexpr int MaxInterimResponses = 8;
-
 // Time after which a connection with unacknowledged data is closed.
 constexpr unsigned TcpUserTimeoutMs = 2000;
 
@@ -284,19 +275,20 @@
   std::size_t StaleBytes = 0;
   int InterimCount = 0;
   for (int StaleCount = 0; StaleCount <= MaxStaleResponses;) {
-    Parser_.emplace();
-    Parser_->header_limit(MaxHeadBytes);
-    Parser_->body_limit(MaxBodyBytes);
-    if (Request.Method_ == "HEAD")
-      Parser_->skip(true);
+    Parser_.emplace(Request.Method_);
     error_code Error;
     co_await http::async_read_header(
         Connection_->socket(), Connection_->buffer(), *Parser_, into(Error));
     if (Error)
       co_return false;
-    constexpr unsigned FirstFinal = 200;
-    if (status() < FirstFinal) {
-      if (++InterimCount > MaxInterimResponses)
+    const httpwire::ResponseKind Kind = Parser_->kind();
+    if (Kind == httpwire::ResponseKind::Invalid) {
+      // Nothing that it says is believed.
+      Parser_.reset();
+      co_return false;
+    }
+    if (Kind == httpwire::ResponseKind::Interim) {
+      if (++InterimCount > httpwire::MaxInterimResponses)
         co_return false;
       continue;
     }
--- a/src/libs/vm/upstreamattempt.h
+++ b/src/libs/vm/upstreamattempt.h
@@ -3,13 +3,12 @@
 
 #include "asynckit/awaiting.h"
 #include "asynckit/deadline.h"
+#include "httpwire/responseparser.h"
 #include "traffic/attemptresult.h"
 #include "vm/callerrequest.h"
 #include "vm/headernames.h"
 #include "vm/upstreamconnectionpool.h"
 
-#include <boost/beast/http/parser.hpp>
-
 #include <functional>
 #include <memory>
 #include <optional>
@@ -88,9 +87,6 @@
   std::int64_t bodyLength() const;
 
 private:
-  using Parser =
-      boost::beast::http::response_parser<boost::beast::http::buffer_body>;
-
   asynckit::awaitable<bool> connect(const std::string &RequestId);
   void armTimer();
   void armFinalTimer();
@@ -108,7 +104,7 @@
   AttemptOptions Options_;
   asynckit::Deadline Timer_;
   UpstreamConnectionPtr Connection_;
-  std::optional<Parser> Parser_;
+  std::optional<httpwire::ResponseParser> Parser_;
   std::string Body_;
   std::string UnsentBody_;
   bool IsSending_ = false;
--- a/src/libs/vm/upstreamconnection.h
+++ b/src/libs/vm/upstreamconnection.h
@@ -2,6 +2,7 @@
 #define EBONY_VM_UPSTREAMCONNECTION_H
 
 #include "base/time.h"
+#include "httpwire/responseparser.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -18,13 +19,15 @@
 class UpstreamConnection {
 public:
   explicit UpstreamConnection(boost::asio::io_context &Context)
-      : Socket_(Context), Buffer_(MaxUnparsedBytes) {}
+      : Socket_(Context), Buffer_(httpwire::MaxUnparsedBytes) {}
 
   boost::asio::ip::tcp::socket &socket() { return Socket_; }
   boost::beast::flat_buffer &buffer() { return Buffer_; }
 
   /// Releases the memory of an empty buffer.
-  void shrinkBuffer() { Buffer_ = boost::beast::flat_buffer(MaxUnparsedBytes); }
+  void shrinkBuffer() {
+    Buffer_ = boost::beast::flat_buffer(httpwire::MaxUnparsedBytes);
+  }
 
   /// Closes the connection; pending operations on it end with an error.
   void close() {
@@ -55,10 +58,6 @@
   base::Duration KeepAlive_{};
 
 private:
-  /// Bytes that are kept unparsed. A head or a chunk's header that is longer
-  /// ends the attempt: an upstream in trouble may send one without end.
-  static constexpr std::size_t MaxUnparsedBytes = 128UL * 1024;
-
   /// Number of requests whose ids are remembered; a repeat follows within a
   /// few.
   static constexpr std::size_t RecentIdCount = 16;
