End a response that comes in chunks with extensions without end

Asked about by other operators: bytes without end that are no answer. What a VM keeps of a response was limited before, and of the 14 rows of endlessAnswers() all but one ended on. Small chunks with extensions were read until the request's deadline, at the cost of a whole core, since each extension is work and none of it counts as body; the test, whose path has no deadline, did not end in 60 s.

16 KiB of extensions in one response now end it. Nobody uses extensions, so no whole answer is lost by that (a row of wholeAnswers() has one).

--- a/src/libs/httpwire/responseparser.cpp
+++ b/src/libs/httpwire/responseparser.cpp
@@ -1,6 +1,7 @@
 #include "httpwire/responseparser.h"
 
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/field.hpp>
 
 namespace ebony::httpwire {
@@ -11,6 +12,10 @@
 
 constexpr std::uint32_t MaxHeadBytes = 32UL << 10;
 
+// Bytes of chunk extensions in one response. Nobody uses any, and each of them
+// costs the reader more than a byte of the body.
+constexpr std::size_t MaxExtensionBytes = 16UL << 10;
+
 ResponseKind kindOfStatus(unsigned Status) {
   constexpr unsigned FirstInterim = 100;
   constexpr unsigned SwitchingProtocols = 101;
@@ -29,6 +34,13 @@
   // Bodies are read piece by piece and never kept whole.
   body_limit(UINT64_MAX);
   skip(Method == "HEAD");
+  OnChunkHeader_ = [this](std::uint64_t, beast::string_view Extensions,
+                          beast::error_code &Error) {
+    ExtensionBytes_ += Extensions.size();
+    if (ExtensionBytes_ > MaxExtensionBytes)
+      Error = beast::http::error::bad_chunk_extension;
+  };
+  on_chunk_header(OnChunkHeader_);
 }
 
 ResponseKind ResponseParser::kind() const {
--- a/src/libs/httpwire/responseparser.h
+++ b/src/libs/httpwire/responseparser.h
@@ -4,7 +4,8 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
-#include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <string_view>
 
 namespace ebony::httpwire {
@@ -37,6 +38,12 @@
 
   /// Returns what the response is; the head must have been read.
   ResponseKind kind() const;
+
+private:
+  std::size_t ExtensionBytes_ = 0;
+  std::function<void(std::uint64_t, boost::beast::string_view,
+                     boost::beast::error_code &)>
+      OnChunkHeader_;
 };
 
 } // namespace ebony::httpwire
--- a/tests/libs/vm/brokenanswertest.cpp
+++ b/tests/libs/vm/brokenanswertest.cpp
@@ -88,6 +88,11 @@
 
 BOOST_AUTO_TEST_CASE(cutAnswerIsNone) { checkAll(httpwire::cutAnswers()); }
 
+// Issue 50: a machine that kept such bytes ran out of memory.
+BOOST_AUTO_TEST_CASE(endlessAnswerIsNone) {
+  checkAll(httpwire::endlessAnswers());
+}
+
 BOOST_AUTO_TEST_CASE(connectionWithBrokenAnswerIsNotUsedAgain) {
   std::vector<BrokenAnswer> Answers = httpwire::answersWithOddStatus();
   for (const BrokenAnswer &Answer : httpwire::answersWithOddHead())
