Log why an upstream's answer was rejected

A request that fails because what came back is no response had the reason answer-lost, the same as a connection that ended. The line answer-rejected names the request, the upstream and what is wrong, and ebony_rejected_answers_total counts them.

--- a/src/libs/vm/requestexchange.cpp
+++ b/src/libs/vm/requestexchange.cpp
@@ -269,6 +269,7 @@
       ResponseNotices(State_).record(*Chosen.Upstream_, *Attempt_, Request_.Id_,
                                      Result, Started);
       recordReachability(*Chosen.Upstream_, Result);
+      logProblem();
     }
     AsyncDispatcher_.finish(Placed, Result, State_.now() - Started);
     Job = std::move(Placed.Job_);
@@ -356,6 +357,16 @@
     State_.Reachability_.recordFailure(Upstream.Entry_.Name_);
 }
 
+void RequestExchange::logProblem() {
+  if (Attempt_->problem().empty())
+    return;
+  State_.Metrics_.RejectedAnswers_.add();
+  State_.log(EventLine("answer-rejected")
+                 .add("id", Request_.Id_)
+                 .add("upstream", Outcome_.Upstream_)
+                 .add("problem", Attempt_->problem()));
+}
+
 traffic::RequestFingerprint RequestExchange::fingerprint() {
   if (!Fingerprint_)
     Fingerprint_ = fingerprintOf(Request_);
@@ -505,6 +516,7 @@
   const ResponseWriter::RelayResult Result =
       co_await Writer.relay(Request_, *Attempt_, KeepsOpen);
   if (Result == ResponseWriter::RelayResult::Truncated) {
+    logProblem();
     Outcome_.Outcome_ = "failed";
     Outcome_.Reason_ = "answer-broke-off";
   }
--- a/src/libs/vm/requestexchange.h
+++ b/src/libs/vm/requestexchange.h
@@ -67,6 +67,8 @@
   /// Logs and counts a send to an upstream that is cold.
   void recordColdSend(const traffic::UpstreamState &Upstream);
   /// Records what an attempt shows about the way to the upstreams.
+  /// Logs why what the upstream sent is no response, if it is none.
+  void logProblem();
   void recordReachability(const traffic::UpstreamState &Upstream,
                           traffic::AttemptResult Result);
   /// Finds out whether the upstream ended while it ran the request, which was
--- a/src/libs/vm/upstreamattempt.cpp
+++ b/src/libs/vm/upstreamattempt.cpp
@@ -279,10 +279,12 @@
     error_code Error;
     co_await http::async_read_header(
         Connection_->socket(), Connection_->buffer(), *Parser_, into(Error));
+    recordProblem(Error);
     if (Error)
       co_return false;
     const httpwire::ResponseKind Kind = Parser_->kind();
     if (Kind == httpwire::ResponseKind::Invalid) {
+      Problem_ = "invalid head, status " + std::to_string(status());
       // Nothing that it says is believed.
       Parser_.reset();
       co_return false;
@@ -325,6 +327,9 @@
   // orderly end of the connection, which ends a body without a length.
   IsCut_ = Parser_->is_done() && Parser_->need_eof() &&
            (IsSending_ || HasSendFailed_);
+  if (IsCut_)
+    Problem_ = "connection ended during the request";
+  recordProblem(Error);
   co_return !Error && !IsCut_;
 }
 
@@ -338,6 +343,14 @@
   co_return true;
 }
 
+void UpstreamAttempt::recordProblem(const error_code &Error) {
+  const bool IsEnd = Error == http::error::end_of_stream ||
+                     Error == http::error::partial_message;
+  if (Error.category() == error_code(http::error::end_of_stream).category() &&
+      !IsEnd)
+    Problem_ = Error.message();
+}
+
 AttemptResult UpstreamAttempt::failureResult() const {
   if (IsAbandoned_)
     return AttemptResult::CallerLeft;
--- a/src/libs/vm/upstreamattempt.h
+++ b/src/libs/vm/upstreamattempt.h
@@ -83,6 +83,9 @@
   bool hasOpenedConnection() const { return HasOpenedConnection_; }
   /// Returns whether the head of a response has arrived.
   bool hasResponse() const { return Parser_ && Parser_->is_header_done(); }
+  /// Returns why what the upstream sent is no whole response; empty if it is
+  /// one, or if the connection ended without a reason.
+  const std::string &problem() const { return Problem_; }
   /// Returns the Content-Length of the response; -1 if it has none.
   std::int64_t bodyLength() const;
 
@@ -98,6 +101,8 @@
   /// Returns the result that the head of the response tells.
   traffic::AttemptResult headResult() const;
   traffic::AttemptResult failureResult() const;
+  /// Keeps why the parser refused what the upstream sent.
+  void recordProblem(const asynckit::error_code &Error);
 
   const HeaderNames &Names_;
   UpstreamConnectionPool &Connections_;
@@ -107,6 +112,7 @@
   std::optional<httpwire::ResponseParser> Parser_;
   std::string Body_;
   std::string UnsentBody_;
+  std::string Problem_;
   bool IsSending_ = false;
   bool HasSendFailed_ = false;
   /// Whether the connection ended while the request was still being sent, and
--- a/src/libs/vm/vmmetrics.cpp
+++ b/src/libs/vm/vmmetrics.cpp
@@ -49,6 +49,9 @@
       OutdatedEntries_(Registry_.counter(
           "ebony_outdated_upstream_entries_total",
           "Entries of upstreams that were older than what was known.")),
+      RejectedAnswers_(Registry_.counter(
+          "ebony_rejected_answers_total",
+          "Answers of upstreams that were no responses in the protocol.")),
       ColdUpstreams_(Registry_.counter("ebony_cold_upstreams",
                                        "Upstreams taken for cold.", "", Gauge)),
       SendsToCold_(Registry_.counter("ebony_sends_to_cold_upstreams_total",
--- a/src/libs/vm/vmmetrics.h
+++ b/src/libs/vm/vmmetrics.h
@@ -35,6 +35,7 @@
   telemetry::Counter &SendsToLimited_;
   telemetry::Counter &LeavingUpstreams_;
   telemetry::Counter &OutdatedEntries_;
+  telemetry::Counter &RejectedAnswers_;
   telemetry::Counter &ColdUpstreams_;
   telemetry::Counter &SendsToCold_;
   telemetry::Counter &IsIsolated_;
