Read upstreams' responses in ebony-entryd with the parser of ebony-vmd

Its cause is POCO's reader of responses: it passes over lines that it can't parse, takes the end of the connection within a chunk for the end of the body, and limits neither the fields nor the bytes of a chunk's size; the streams of its session hide a failed write, so that a body without a length that ended during the upload looked whole; and each read had a time-out, all of them together none. When a part had been passed on, the end of the server's stream wrote the last chunk, so that a response known to be cut looked complete.

httpkit::ResponseReader reads a session's response with httpwire::ResponseParser and one deadline, and knows whether the whole request was sent. The client of the platform's store reads with it, too, and keeps 64 MiB of a body at the most. A response that breaks off shuts the caller's connection down.

--- a/src/libs/entry/forwarder.cpp
+++ b/src/libs/entry/forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/callerheaders.h"
 #include "entry/responsecopier.h"
+#include "httpkit/responsereader.h"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
@@ -147,7 +148,10 @@
 ForwardResult Forwarder::receive(PeerExchange &Exchange,
                                  httpkit::ClientSession &Session) const {
   net::HTTPResponse Head;
-  std::istream &Stream = Session.receiveResponse(Head);
+  httpkit::ResponseReader Reader(Session, Exchange.Head_.getMethod(), Clock_,
+                                 Exchange.Context_.Deadline_);
+  if (!Reader.readHead(Head))
+    return {ForwardStatus::Unknown, std::nullopt};
   const auto Load = parseLoad(Head.get("Ebony-Load", ""));
   if (Head.get("Ebony-Request-Id", "") != Exchange.Context_.Id_.text())
     return {ForwardStatus::Unknown, Load};
@@ -155,7 +159,7 @@
     return {ForwardStatus::NotRun, Load};
   if (!Exchange.IsRelay_)
     Head.set("Ebony-Outcome", "complete");
-  switch (ResponseCopier(Head, Stream).copyTo(Exchange.Response_)) {
+  switch (ResponseCopier(Head, Reader).copyTo(Exchange.Response_)) {
   case CopyResult::Complete:
     return {ForwardStatus::Answered, Load};
   case CopyResult::TruncatedBeforeSending:
--- a/src/libs/entry/responsecopier.cpp
+++ b/src/libs/entry/responsecopier.cpp
@@ -17,7 +17,8 @@
 
 } // namespace
 
-ResponseCopier::ResponseCopier(const HTTPResponse &Head, std::istream &Body)
+ResponseCopier::ResponseCopier(const HTTPResponse &Head,
+                               httpkit::ResponseReader &Body)
     : Head_(Head), Body_(Body) {}
 
 CopyResult ResponseCopier::copyTo(Poco::Net::HTTPServerResponse &Response) {
@@ -28,9 +29,10 @@
     Response.send();
     return CopyResult::Complete;
   }
-  const bool IsSmall = Head_.hasContentLength() &&
-                       Head_.getContentLength64() <= MaxBufferedBytes;
-  return IsSmall ? copyBuffered(Response) : copyStreamed(Response);
+  const auto Length = Body_.bodyLength();
+  const bool IsSmall = Length && *Length <= MaxBufferedBytes;
+  return IsSmall ? copyBuffered(Response, *Length)
+                 : copyStreamed(Response, Length);
 }
 
 bool ResponseCopier::mayHaveBody() const {
@@ -38,35 +40,37 @@
          Head_.getStatus() != HTTPResponse::HTTP_NOT_MODIFIED;
 }
 
-CopyResult
-ResponseCopier::copyBuffered(Poco::Net::HTTPServerResponse &Response) {
-  const std::int64_t Length = Head_.getContentLength64();
+CopyResult ResponseCopier::copyBuffered(Poco::Net::HTTPServerResponse &Response,
+                                        std::int64_t Length) {
   std::string Bytes(static_cast<std::size_t>(Length), '\0');
-  if (Length > 0)
-    Body_.read(Bytes.data(), Length);
-  if (Length > 0 && Body_.gcount() != Length)
-    return CopyResult::TruncatedBeforeSending;
+  std::size_t Total = 0;
+  while (Total < Bytes.size()) {
+    const auto Count =
+        Body_.readBody(Bytes.data() + Total, Bytes.size() - Total);
+    if (Count.value_or(0) == 0)
+      return CopyResult::TruncatedBeforeSending;
+    Total += *Count;
+  }
   Response.sendBuffer(Bytes.data(), Bytes.size());
   return CopyResult::Complete;
 }
 
-CopyResult
-ResponseCopier::copyStreamed(Poco::Net::HTTPServerResponse &Response) {
-  const std::int64_t Length =
-      Head_.hasContentLength() ? Head_.getContentLength64() : -1;
-  if (Length >= 0)
-    Response.setContentLength64(Length);
+CopyResult ResponseCopier::copyStreamed(Poco::Net::HTTPServerResponse &Response,
+                                        std::optional<std::int64_t> Length) {
+  if (Length)
+    Response.setContentLength64(*Length);
   else
     Response.setChunkedTransferEncoding(true);
   std::ostream &Sink = Response.send();
   std::array<char, CopyBufferBytes> Buffer{};
-  std::int64_t Total = 0;
-  while (Body_.read(Buffer.data(), Buffer.size()) || Body_.gcount() > 0) {
-    Total += Body_.gcount();
-    Sink.write(Buffer.data(), Body_.gcount());
+  for (;;) {
+    const auto Count = Body_.readBody(Buffer.data(), Buffer.size());
+    if (!Count)
+      return CopyResult::TruncatedWhileSending;
+    if (*Count == 0)
+      return CopyResult::Complete;
+    Sink.write(Buffer.data(), static_cast<std::streamsize>(*Count));
   }
-  const bool IsTruncated = Body_.bad() || (Length >= 0 && Total != Length);
-  return IsTruncated ? CopyResult::TruncatedWhileSending : CopyResult::Complete;
 }
 
 } // namespace ebony::entry
--- a/src/libs/entry/responsecopier.h
+++ b/src/libs/entry/responsecopier.h
@@ -1,11 +1,11 @@
 #ifndef EBONY_ENTRY_RESPONSECOPIER_H
 #define EBONY_ENTRY_RESPONSECOPIER_H
 
+#include "httpkit/responsereader.h"
+
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/HTTPServerResponse.h>
 
-#include <istream>
-
 namespace ebony::entry {
 
 /// How much of a response reached the caller.
@@ -25,17 +25,21 @@
 /// before it is sent. A truncated response never looks complete to the caller.
 class ResponseCopier {
 public:
-  ResponseCopier(const Poco::Net::HTTPResponse &Head, std::istream &Body);
+  /// \p Body has read \p Head.
+  ResponseCopier(const Poco::Net::HTTPResponse &Head,
+                 httpkit::ResponseReader &Body);
 
   CopyResult copyTo(Poco::Net::HTTPServerResponse &Response);
 
 private:
-  CopyResult copyBuffered(Poco::Net::HTTPServerResponse &Response);
-  CopyResult copyStreamed(Poco::Net::HTTPServerResponse &Response);
+  CopyResult copyBuffered(Poco::Net::HTTPServerResponse &Response,
+                          std::int64_t Length);
+  CopyResult copyStreamed(Poco::Net::HTTPServerResponse &Response,
+                          std::optional<std::int64_t> Length);
   bool mayHaveBody() const;
 
   const Poco::Net::HTTPResponse &Head_;
-  std::istream &Body_;
+  httpkit::ResponseReader &Body_;
 };
 
 } // namespace ebony::entry
--- a/src/libs/httpkit/clientsession.cpp
+++ b/src/libs/httpkit/clientsession.cpp
@@ -42,6 +42,11 @@
   socket().setReceiveTimeout(Span);
 }
 
+bool ClientSession::endRequest() {
+  flushRequest();
+  return networkException() == nullptr;
+}
+
 bool ClientSession::isStale() {
   return !connected() ||
          socket().poll(Poco::Timespan(0),
--- a/src/libs/httpkit/httpclient.cpp
+++ b/src/libs/httpkit/httpclient.cpp
@@ -1,16 +1,28 @@
 #include "httpkit/httpclient.h"
 
+#include "base/steadyclock.h"
 #include "httpkit/clientsession.h"
+#include "httpkit/responsereader.h"
 
 #include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
-#include <Poco/StreamCopier.h>
 #include <glog/logging.h>
 
+#include <array>
+
 namespace ebony::httpkit {
 
 namespace net = Poco::Net;
 
+namespace {
+
+// Largest body that is kept. Far above the objects of the platform's store.
+constexpr std::size_t MaxBodyBytes = 64UL << 20;
+
+constexpr std::size_t PieceBytes = 16UL << 10;
+
+} // namespace
+
 HttpClient::HttpClient(wire::Endpoint Peer, std::string SourceAddress,
                        base::Duration Timeout)
     : Peer_(std::move(Peer)), SourceAddress_(std::move(SourceAddress)),
@@ -18,6 +30,7 @@
 
 std::optional<SmallResponse>
 HttpClient::send(const SmallRequest &Request) const {
+  const base::SteadyClock Clock;
   try {
     ClientSession Session(Peer_, SourceAddress_, Timeout_);
     Session.setIoTimeout(Timeout_);
@@ -28,17 +41,23 @@
     Head.setContentLength(static_cast<std::streamsize>(Request.Body_.size()));
     Session.sendRequest(Head) << Request.Body_;
     net::HTTPResponse Answer;
-    std::istream &Stream = Session.receiveResponse(Answer);
+    ResponseReader Reader(Session, Request.Method_, Clock,
+                          Clock.now() + Timeout_);
+    if (!Reader.readHead(Answer))
+      return std::nullopt;
     SmallResponse Result;
     Result.Status_ = Answer.getStatus();
-    Poco::StreamCopier::copyToString(Stream, Result.Body_);
-    const bool IsCut =
-        Answer.getContentLength() != net::HTTPMessage::UNKNOWN_CONTENT_LENGTH &&
-        Answer.getContentLength() !=
-            static_cast<std::streamsize>(Result.Body_.size());
-    if (IsCut)
-      return std::nullopt;
-    return Result;
+    std::array<char, PieceBytes> Piece{};
+    while (Result.Body_.size() <= MaxBodyBytes) {
+      const auto Count = Reader.readBody(Piece.data(), Piece.size());
+      if (!Count)
+        return std::nullopt;
+      if (*Count == 0)
+        return Result;
+      Result.Body_.append(Piece.data(), *Count);
+    }
+    LOG(WARNING) << "response too large peer=" << toText(Peer_);
+    return std::nullopt;
   } catch (const Poco::Exception &Error) {
     VLOG(1) << "no response peer=" << toText(Peer_)
             << " error=" << Error.displayText();
--- a/src/libs/httpkit/httpserver.cpp
+++ b/src/libs/httpkit/httpserver.cpp
@@ -6,6 +6,7 @@
 #include <Poco/Net/HTTPServer.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/ThreadPool.h>
 #include <Poco/Timespan.h>
 #include <glog/logging.h>
@@ -68,7 +69,9 @@
     } catch (const std::exception &Error) {
       LOG(WARNING) << "request failed error=\"" << Error.what() << '"';
       Response.setKeepAlive(false);
-      if (!Response.sent())
+      if (Response.sent())
+        shutDownConnection(Request);
+      else
         sendInternalProblem(Response);
     }
     InFlight_.decrement();
@@ -85,6 +88,16 @@
       Response.setKeepAlive(false);
   }
 
+  // Else the end of the stream would write the last chunk of a response that is
+  // not complete.
+  static void shutDownConnection(net::HTTPServerRequest &Request) {
+    try {
+      dynamic_cast<net::HTTPServerRequestImpl &>(Request).socket().shutdown();
+    } catch (const Poco::Exception &) {
+      // The caller has disconnected already.
+    }
+  }
+
   static void sendInternalProblem(net::HTTPServerResponse &Response) {
     try {
       sendProblem(Response, {500, Outcome::Unknown, "internal",
