Bound the whole reading of a response in ebony-entryd by its deadline

A response that comes byte by byte within its head was read in one call of the parser's functions, for each of whose reads the time-out began anew. The time left is now asked before each read. And whether the whole request was sent is told by the stream, too: a send that times out is not an error of the socket, it leaves a part unsent and the stream bad.

brokenanswertest/slowAnswerEndsAtTheDeadline plays the first; the second was found by reading and has no test of its own.

--- a/src/libs/entry/forwarder.cpp
+++ b/src/libs/entry/forwarder.cpp
@@ -51,6 +51,8 @@
   net::HTTPServerResponse &Response_;
   bool IsRelay_;
   net::HTTPRequest Head_;
+  /// Whether the whole request was sent.
+  bool IsSent_ = false;
 };
 
 Forwarder::Forwarder(ConnectionPool &Connections, const base::Clock &Clock)
@@ -133,7 +135,7 @@
   std::ostream &Sink = Session.sendRequest(Exchange.Head_);
   switch (Exchange.Body_.sendTo(Sink)) {
   case BodyResult::Sent:
-    Sink.flush();
+    Exchange.IsSent_ = Session.endRequest(Sink);
     return {ForwardStatus::Answered, std::nullopt};
   case BodyResult::TooLarge:
     return {ForwardStatus::BodyTooLarge, std::nullopt};
@@ -148,7 +150,8 @@
 ForwardResult Forwarder::receive(PeerExchange &Exchange,
                                  httpkit::ClientSession &Session) const {
   net::HTTPResponse Head;
-  httpkit::ResponseReader Reader(Session, Exchange.Head_.getMethod(), Clock_,
+  httpkit::ResponseReader Reader(Session, Exchange.Head_.getMethod(),
+                                 Exchange.IsSent_, Clock_,
                                  Exchange.Context_.Deadline_);
   if (!Reader.readHead(Head))
     return {ForwardStatus::Unknown, std::nullopt};
--- a/src/libs/httpkit/clientsession.cpp
+++ b/src/libs/httpkit/clientsession.cpp
@@ -42,9 +42,10 @@
   socket().setReceiveTimeout(Span);
 }
 
-bool ClientSession::endRequest() {
+bool ClientSession::endRequest(std::ostream &Body) {
+  const bool IsFlushed = Body.flush().good();
   flushRequest();
-  return networkException() == nullptr;
+  return IsFlushed && networkException() == nullptr;
 }
 
 bool ClientSession::isStale() {
--- a/src/libs/httpkit/clientsession.h
+++ b/src/libs/httpkit/clientsession.h
@@ -22,9 +22,10 @@
   /// Sets the timeout of each later send and receive.
   void setIoTimeout(base::Duration Timeout);
 
-  /// Sends the rest of the request. Returns whether the whole request was sent;
-  /// the streams of the session hide a failed write.
-  bool endRequest();
+  /// Sends the rest of the request that was written to \p Body, the stream that
+  /// sendRequest() returned, which is gone then. Returns whether the whole
+  /// request was sent: the streams hide a failed write.
+  bool endRequest(std::ostream &Body);
 
   /// Returns whether the peer has closed the idle connection or sent
   /// unsolicited data on it.
--- a/src/libs/httpkit/httpclient.cpp
+++ b/src/libs/httpkit/httpclient.cpp
@@ -39,9 +39,11 @@
     for (const Header &Field : Request.Headers_)
       Head.set(Field.Name_, Field.Value_);
     Head.setContentLength(static_cast<std::streamsize>(Request.Body_.size()));
-    Session.sendRequest(Head) << Request.Body_;
+    std::ostream &Sink = Session.sendRequest(Head);
+    Sink << Request.Body_;
+    const bool IsSent = Session.endRequest(Sink);
     net::HTTPResponse Answer;
-    ResponseReader Reader(Session, Request.Method_, Clock,
+    ResponseReader Reader(Session, Request.Method_, IsSent, Clock,
                           Clock.now() + Timeout_);
     if (!Reader.readHead(Answer))
       return std::nullopt;
--- a/src/libs/httpkit/responsereader.cpp
+++ b/src/libs/httpkit/responsereader.cpp
@@ -14,11 +14,13 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 
-/// The bytes of a session as a stream that the parser's functions can read.
+/// The bytes of a session as a stream that the parser's functions can read,
+/// until a deadline.
 class SessionStream {
 public:
-  SessionStream(ClientSession &Session, base::Duration Timeout)
-      : Session_(Session), Timeout_(Timeout) {}
+  SessionStream(ClientSession &Session, const base::Clock &Clock,
+                base::TimePoint Deadline)
+      : Session_(Session), Clock_(Clock), Deadline_(Deadline) {}
 
   // Boost.Beast requires these names.
   // NOLINTBEGIN(readability-identifier-naming)
@@ -34,8 +36,13 @@
   std::size_t read_some(const Buffers &Target, beast::error_code &Error) {
     const boost::asio::mutable_buffer First =
         *boost::asio::buffer_sequence_begin(Target);
+    const base::Duration Remaining = Deadline_ - Clock_.now();
+    if (Remaining <= base::Duration::zero()) {
+      Error = boost::asio::error::timed_out;
+      return 0;
+    }
     try {
-      Session_.setIoTimeout(Timeout_);
+      Session_.setIoTimeout(Remaining);
       const int Count = Session_.socket().receiveBytes(
           First.data(), static_cast<int>(First.size()));
       if (Count <= 0)
@@ -51,16 +58,17 @@
 
 private:
   ClientSession &Session_;
-  base::Duration Timeout_;
+  const base::Clock &Clock_;
+  base::TimePoint Deadline_;
 };
 
 } // namespace
 
 ResponseReader::ResponseReader(ClientSession &Session, std::string Method,
-                               const base::Clock &Clock,
+                               bool IsRequestSent, const base::Clock &Clock,
                                base::TimePoint Deadline)
-    : Session_(Session), Method_(std::move(Method)), Clock_(Clock),
-      Deadline_(Deadline), IsRequestSent_(Session.endRequest()),
+    : Session_(Session), Method_(std::move(Method)),
+      IsRequestSent_(IsRequestSent), Clock_(Clock), Deadline_(Deadline),
       Bytes_(httpwire::MaxUnparsedBytes) {}
 
 bool ResponseReader::readHead(Poco::Net::HTTPResponse &Head) {
@@ -95,12 +103,9 @@
   return Size - Target.size;
 }
 
-// Reads from the socket what is needed to parse on, within the deadline.
+// Reads from the socket what is needed to parse on.
 bool ResponseReader::readSome() {
-  const base::Duration Remaining = Deadline_ - Clock_.now();
-  if (Remaining <= base::Duration::zero())
-    return false;
-  SessionStream Stream(Session_, Remaining);
+  SessionStream Stream(Session_, Clock_, Deadline_);
   beast::error_code Error;
   http::read_some(Stream, Bytes_, *Parser_, Error);
   if (Error && Error != http::error::need_buffer)
--- a/src/libs/httpkit/responsereader.h
+++ b/src/libs/httpkit/responsereader.h
@@ -17,9 +17,9 @@
 /// response in the protocol are never taken for one.
 class ResponseReader {
 public:
-  /// \p Method is that of the request, \p Deadline the time at which reading
-  /// ends.
-  ResponseReader(ClientSession &Session, std::string Method,
+  /// \p Method is that of the request, \p IsRequestSent what endRequest() has
+  /// returned, \p Deadline the time at which reading ends.
+  ResponseReader(ClientSession &Session, std::string Method, bool IsRequestSent,
                  const base::Clock &Clock, base::TimePoint Deadline);
 
   /// Reads interim responses and the head of the final one. Returns false when
@@ -43,9 +43,9 @@
 
   ClientSession &Session_;
   std::string Method_;
+  bool IsRequestSent_;
   const base::Clock &Clock_;
   base::TimePoint Deadline_;
-  bool IsRequestSent_;
   boost::beast::flat_buffer Bytes_;
   std::optional<httpwire::ResponseParser> Parser_;
 };
--- a/src/libs/vm/upstreamattempt.cpp
+++ b/src/libs/vm/upstreamattempt.cpp
@@ -284,7 +284,7 @@
       co_return false;
     const httpwire::ResponseKind Kind = Parser_->kind();
     if (Kind == httpwire::ResponseKind::Invalid) {
-      Problem_ = "invalid head, status " + std::to_string(status());
+      Problem_ = "invalid-head-of-status-" + std::to_string(status());
       // Nothing that it says is believed.
       Parser_.reset();
       co_return false;
@@ -328,7 +328,7 @@
   IsCut_ = Parser_->is_done() && Parser_->need_eof() &&
            (IsSending_ || HasSendFailed_);
   if (IsCut_)
-    Problem_ = "connection ended during the request";
+    Problem_ = "ended-during-request";
   recordProblem(Error);
   co_return !Error && !IsCut_;
 }
--- a/tests/libs/entry/brokenanswertest.cpp
+++ b/tests/libs/entry/brokenanswertest.cpp
@@ -25,8 +25,7 @@
 // with those that both sockets hold.
 constexpr std::size_t MaxEndlessBytes = 16UL << 20;
 
-constexpr base::Duration Deadline = 5s;
-// Far below the deadline.
+// Far below the usual deadline of the requests.
 constexpr base::Duration MaxTime = 3s;
 
 /// What a caller has seen of a response.
@@ -57,6 +56,8 @@
         forward(Request, Response);
       }};
   std::atomic<int> LastId_{0};
+  /// Time that a request has.
+  std::atomic<base::Duration> Timeout_{5s};
 
   Fixture() { Server_.start(); }
   ~Fixture() {
@@ -71,7 +72,7 @@
     Context.Id_ = base::RequestId("e" + std::to_string(++LastId_));
     Context.Path_ = {base::ServiceName("s"), "/a", "/a"};
     Context.ArrivedAt_ = Clock_.now();
-    Context.Deadline_ = Context.ArrivedAt_ + Deadline;
+    Context.Deadline_ = Context.ArrivedAt_ + Timeout_.load();
     Context.MaxBodyBytes_ = 64 << 20;
     entry::RequestBody Body(Request, Context.MaxBodyBytes_);
     if (!Body.bufferSmallBody())
@@ -180,6 +181,23 @@
   checkAll(httpwire::endlessAnswers());
 }
 
+// Each read of a response that comes byte by byte ends in time; all of them
+// together have to.
+BOOST_AUTO_TEST_CASE(slowAnswerEndsAtTheDeadline) {
+  Timeout_ = 500ms;
+  for (const char *Bytes : {"HTTP/1.1 200 OK\r\nA: ", ""}) {
+    onUpstream([&] {
+      Upstream_.setPause(20ms);
+      Upstream_.setAnswer(
+          {"", Bytes, Ending::KeptOpen, Delivery::Failure, "x"});
+    });
+    const base::TimePoint Started = Clock_.now();
+    const Seen Result = send(0);
+    BOOST_TEST((Clock_.now() - Started < MaxTime));
+    BOOST_TEST(Result.Status_ == 502U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(responseThatEndsDuringTheUploadIsNotWhole) {
   const std::string Head = "HTTP/1.1 200 OK\r\n" + httpwire::ownFields();
   for (const std::size_t Bytes : {100000UL, 2000000UL, 10000000UL})
--- a/tests/libs/httpwire/brokenupstream.h
+++ b/tests/libs/httpwire/brokenupstream.h
@@ -29,6 +29,8 @@
   }
 
   void setAnswer(BrokenAnswer Answer) { Answer_ = std::move(Answer); }
+  /// Sets the pause before each repetition of what is sent without end.
+  void setPause(std::chrono::milliseconds Pause) { Pause_ = Pause; }
   /// Has the upstream answer before it has read a request's body, and end its
   /// connection \p Delay later, or read the body first.
   void setAnswersEarly(bool IsEarly, std::chrono::milliseconds Delay = {}) {
@@ -106,6 +108,11 @@
       co_await boost::asio::async_write(Socket, boost::asio::buffer(Bytes),
                                         asynckit::into(Error));
       EndlessBytes_ += Bytes.size();
+      if (Pause_.count() == 0)
+        continue;
+      boost::asio::steady_timer Timer(Context_, Pause_);
+      asynckit::error_code Ignored; // The timer is never cancelled.
+      co_await Timer.async_wait(asynckit::into(Ignored));
     }
     --Open_;
   }
@@ -134,6 +141,7 @@
   BrokenAnswer Answer_;
   bool AnswersEarly_ = false;
   std::chrono::milliseconds Delay_{};
+  std::chrono::milliseconds Pause_{};
   std::atomic<int> UsedConnections_{0};
   std::atomic<int> Requests_{0};
   std::atomic<int> Open_{0};
