Destroy the store of oddnametest before its event loop

The address sanitizer found a use after free in the test: the fixture's base class owned the store and outlived the event loop of the other base class. Checks and bounds are the same.

--- a/tests/platform/oddnametest.cpp
+++ b/tests/platform/oddnametest.cpp
@@ -27,7 +27,8 @@
 }
 
 struct StoreSlot {
-  std::shared_ptr<PagingStore> Store_;
+  /// Owned by the binding, which is destroyed before the event loop.
+  PagingStore *Store_ = nullptr;
 };
 
 /// A VM that starts while the entries of another writer stand in the list of
@@ -39,9 +40,10 @@
   /// it is not set.
   explicit Vm(const std::optional<std::string> &Value)
       : RequestPathFixture([this](vm::PlatformBinding &Binding) {
-          Store_ = std::make_shared<PagingStore>(Context_, RowsPerPage);
+          auto Store = std::make_shared<PagingStore>(Context_, RowsPerPage);
+          Store_ = Store.get();
           Binding.DecodeUpstream_ = decodeUpstream;
-          Binding.MakeStore_ = [this, Store = Store_,
+          Binding.MakeStore_ = [this, Store,
                                 Era = std::make_shared<StoreEra>()] {
             return std::make_unique<StoreClient>(Context_, Store->endpoint(),
                                                  Era);
