Close the least active connection of an HTTP server for a new one

What callers saw: ebony-entryd, ebony-steerd and ebony-agentd closed the connections of ordinary callers while clients that sent nothing, or a byte now and then, held all threads.

Cause: a thread a connection, and each read had a time-out of its own, which a byte a second renews. As many connections again were queued, further ones closed.

Why it works: GuardedSocket tells ConnectionGuard while its thread waits for the client; a new connection takes the place of the one that never carried a request, was idle or has waited for its client for longest (findLeastActive, a decision without sockets). Connections at work are never closed for others. A head whose connection ends is not processed any more, since the parser takes that end for the end of the head, and a head has at most 64 KiB (431). Counters: ebony_closed_connections_total, ebony_large_heads_total.

--- a/src/libs/agent/agentdaemon.cpp
+++ b/src/libs/agent/agentdaemon.cpp
@@ -60,8 +60,8 @@
         AgentServer_({Settings.Address_, Settings.AgentPort_},
                      std::make_shared<wire::AgentProcessor>(Handler_),
                      MaxWireConnections),
-        OperatorServer_({Settings.Address_, Settings.OperatorPort_},
-                        MaxOperatorConnections,
+        OperatorServer_("operator", {Settings.Address_, Settings.OperatorPort_},
+                        MaxOperatorConnections, Metrics_,
                         [this](auto &Request, auto &Response) {
                           answer(Request, Response);
                         }) {}
--- a/src/libs/entry/entrydaemon.cpp
+++ b/src/libs/entry/entrydaemon.cpp
@@ -49,25 +49,27 @@
         Follower_(State_, Clock_, OwnVm_, wire::FollowerRole::ENTRY,
                   Settings.AgentPort_),
         RefreshThread_(RefreshInterval, [this] { Dispatcher_.refresh(); }),
-        AdminServer_(
-            {Settings.Address_, Settings.AdminPort_}, MaxAdminConnections,
-            [this](auto &Request, auto &Response) {
-              if (!Admin_.answer(Request, Response))
-                httpkit::sendProblem(Response,
-                                     {404, httpkit::Outcome::NotRun, "no-page",
-                                      "Use /healthz, /readyz, "
-                                      "/metrics, /log-level or "
-                                      "/decisions.",
-                                      std::nullopt});
-            }),
-        EntryServer_({Settings.Address_, Settings.EntryPort_},
+        AdminServer_("admin", {Settings.Address_, Settings.AdminPort_},
+                     MaxAdminConnections, Metrics_,
+                     [this](auto &Request, auto &Response) {
+                       if (!Admin_.answer(Request, Response))
+                         httpkit::sendProblem(Response,
+                                              {404, httpkit::Outcome::NotRun,
+                                               "no-page",
+                                               "Use /healthz, /readyz, "
+                                               "/metrics, /log-level or "
+                                               "/decisions.",
+                                               std::nullopt});
+                     }),
+        EntryServer_("entry", {Settings.Address_, Settings.EntryPort_},
                      static_cast<std::size_t>(Settings.MaxConnections_),
+                     Metrics_,
                      [this](auto &Request, auto &Response) {
                        Pipeline_.handleCallerRequest(Request, Response);
                      }),
-        RelayServer_({Settings.Address_, Settings.RelayPort_},
+        RelayServer_("relay", {Settings.Address_, Settings.RelayPort_},
                      static_cast<std::size_t>(Settings.MaxConnections_),
-                     [this](auto &Request, auto &Response) {
+                     Metrics_, [this](auto &Request, auto &Response) {
                        Pipeline_.handleRelayedRequest(Request, Response);
                      }) {}
 
--- a/src/libs/httpkit/httpserver.cpp
+++ b/src/libs/httpkit/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "httpkit/httpserver.h"
 
+#include "httpkit/guardedsocket.h"
 #include "httpkit/problem.h"
 
 #include <Poco/Net/HTTPRequestHandler.h>
@@ -7,10 +8,14 @@
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/ServerSocketImpl.h>
 #include <Poco/ThreadPool.h>
 #include <Poco/Timespan.h>
 #include <glog/logging.h>
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -24,9 +29,11 @@
 
 constexpr int KeepAliveSeconds = 15;
 constexpr int ReadTimeoutSeconds = 15;
-constexpr int MaxFieldLength = 16 * 1024;
-constexpr int MaxFields = 100;
 constexpr int ListenBacklog = 256;
+
+// Connections that were closed to make room and wait for a thread to end them.
+constexpr int MaxEndingConnections = 64;
+
 constexpr std::streamsize MaxDiscardedBytes = std::streamsize{16} << 20;
 
 /// Counts the requests in flight.
@@ -55,6 +62,40 @@
   int Count_ = 0;
 };
 
+/// Listening socket whose connections are guarded.
+class GuardedListener final : public net::ServerSocketImpl {
+public:
+  explicit GuardedListener(ConnectionGuardPtr Guard)
+      : Guard_(std::move(Guard)) {}
+
+  net::SocketImpl *acceptConnection(net::SocketAddress &Client) override {
+    sockaddr_storage Address{};
+    socklen_t Length = sizeof(Address);
+    int Handle = -1;
+    do
+      Handle = ::accept4(sockfd(), reinterpret_cast<sockaddr *>(&Address),
+                         &Length, SOCK_CLOEXEC);
+    while (Handle < 0 && errno == EINTR);
+    if (Handle < 0)
+      error(errno);
+    Client = net::SocketAddress(reinterpret_cast<sockaddr *>(&Address), Length);
+    return new GuardedSocket(Handle, Guard_);
+  }
+
+private:
+  const ConnectionGuardPtr Guard_;
+};
+
+/// Handle of a GuardedListener.
+class GuardedServerSocket final : public net::ServerSocket {
+public:
+  GuardedServerSocket(const wire::Endpoint &Listen, ConnectionGuardPtr Guard)
+      : ServerSocket(new GuardedListener(std::move(Guard)), true) {
+    impl()->bind(net::SocketAddress(Listen.Address_, Listen.Port_), true);
+    impl()->listen(ListenBacklog);
+  }
+};
+
 class RequestHandler final : public net::HTTPRequestHandler {
 public:
   RequestHandler(const RequestFunction &Answer, InFlightCounter &InFlight)
@@ -63,9 +104,12 @@
   void handleRequest(net::HTTPServerRequest &Request,
                      net::HTTPServerResponse &Response) override {
     InFlight_.increment();
+    GuardedSocket *Socket = guardedSocket(Request);
     try {
-      Answer_(Request, Response);
-      discardUnreadBody(Request, Response);
+      if (mayAnswer(*Socket, Response)) {
+        Answer_(Request, Response);
+        discardUnreadBody(Request, Response);
+      }
     } catch (const std::exception &Error) {
       LOG(WARNING) << "request failed error=\"" << Error.what() << '"';
       Response.setKeepAlive(false);
@@ -74,10 +118,24 @@
       else
         sendInternalProblem(Response);
     }
+    Socket->endRequest();
     InFlight_.decrement();
   }
 
 private:
+  // The parser takes the end of the connection for the end of the head.
+  static bool mayAnswer(GuardedSocket &Socket,
+                        net::HTTPServerResponse &Response) {
+    const GuardedSocket::HeadEnd End = Socket.endHead();
+    if (End == GuardedSocket::HeadEnd::Complete)
+      return true;
+    Response.setKeepAlive(false);
+    if (End == GuardedSocket::HeadEnd::TooLarge)
+      sendProblem(Response, {431, Outcome::NotRun, "head-too-large",
+                             "Send a smaller head.", std::nullopt});
+    return false;
+  }
+
   // Closing a connection with unread data resets it, and the response may be
   // lost. On an open connection, unread data would be parsed as the next
   // request.
@@ -134,25 +192,25 @@
   Parameters->setKeepAliveTimeout(Poco::Timespan(KeepAliveSeconds, 0));
   Parameters->setTimeout(Poco::Timespan(ReadTimeoutSeconds, 0));
   Parameters->setMaxThreads(static_cast<int>(MaxConnections));
-  Parameters->setMaxQueued(static_cast<int>(MaxConnections));
+  Parameters->setMaxQueued(static_cast<int>(MaxConnections) +
+                           MaxEndingConnections);
   Parameters->setServerName("ebonycove");
   return Parameters;
 }
 
-net::ServerSocket newListener(const wire::Endpoint &Listen) {
-  return net::ServerSocket(net::SocketAddress(Listen.Address_, Listen.Port_),
-                           ListenBacklog);
-}
-
 } // namespace
 
 class HttpServer::Implementation {
 public:
-  Implementation(const wire::Endpoint &Listen, std::size_t MaxConnections,
-                 RequestFunction Answer)
-      : Pool_(2, static_cast<int>(MaxConnections) + 2),
+  Implementation(const std::string &Name, const wire::Endpoint &Listen,
+                 std::size_t MaxConnections,
+                 telemetry::MetricsRegistry &Metrics, RequestFunction Answer)
+      : Guard_(
+            std::make_shared<ConnectionGuard>(Name, MaxConnections, Metrics)),
+        Pool_(2, static_cast<int>(MaxConnections) + 2),
         Server_(new RequestHandlerFactory(std::move(Answer), InFlight_), Pool_,
-                newListener(Listen), newParameters(MaxConnections)) {}
+                GuardedServerSocket(Listen, Guard_),
+                newParameters(MaxConnections)) {}
 
   void start() { Server_.start(); }
 
@@ -168,15 +226,18 @@
 
 private:
   InFlightCounter InFlight_;
+  ConnectionGuardPtr Guard_;
   Poco::ThreadPool Pool_;
   net::HTTPServer Server_;
   bool IsStopped_ = false;
 };
 
-HttpServer::HttpServer(const wire::Endpoint &Listen, std::size_t MaxConnections,
+HttpServer::HttpServer(const std::string &Name, const wire::Endpoint &Listen,
+                       std::size_t MaxConnections,
+                       telemetry::MetricsRegistry &Metrics,
                        RequestFunction Answer)
-    : Implementation_(std::make_unique<Implementation>(Listen, MaxConnections,
-                                                       std::move(Answer))) {}
+    : Implementation_(std::make_unique<Implementation>(
+          Name, Listen, MaxConnections, Metrics, std::move(Answer))) {}
 
 HttpServer::~HttpServer() { Implementation_->stop(0); }
 
--- a/src/libs/httpkit/httpserver.h
+++ b/src/libs/httpkit/httpserver.h
@@ -1,6 +1,7 @@
 #ifndef EBONY_HTTPKIT_HTTPSERVER_H
 #define EBONY_HTTPKIT_HTTPSERVER_H
 
+#include "telemetry/metricsregistry.h"
 #include "wire/endpoint.h"
 
 #include <Poco/Net/HTTPRequestHandlerFactory.h>
@@ -8,6 +9,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace Poco::Net {
 class HTTPServerRequest;
@@ -23,10 +25,12 @@
 /// HTTP/1.1 server on one address with one thread per open connection.
 class HttpServer {
 public:
-  /// Serves at most \p MaxConnections connections at once. As many again are
-  /// queued, and further ones are closed. Throws Poco::Exception when the
-  /// address cannot be bound.
-  HttpServer(const wire::Endpoint &Listen, std::size_t MaxConnections,
+  /// Serves at most \p MaxConnections connections at once. A further one takes
+  /// the place of the least active that waits for its client; while none does,
+  /// as many again are queued, and more are closed. \p Name stands in log lines
+  /// and metrics. Throws Poco::Exception when the address cannot be bound.
+  HttpServer(const std::string &Name, const wire::Endpoint &Listen,
+             std::size_t MaxConnections, telemetry::MetricsRegistry &Metrics,
              RequestFunction Answer);
   ~HttpServer();
 
--- a/src/libs/steer/steerdaemon.cpp
+++ b/src/libs/steer/steerdaemon.cpp
@@ -30,8 +30,8 @@
         Admin_(Metrics_, History_, [this] { return State_.isReady(); }),
         Follower_(State_, Clock_, OwnVm_, wire::FollowerRole::STEER,
                   Settings.AgentPort_),
-        Server_({Settings.Address_, Settings.SteerPort_},
-                static_cast<std::size_t>(Settings.MaxConnections_),
+        Server_("steer", {Settings.Address_, Settings.SteerPort_},
+                static_cast<std::size_t>(Settings.MaxConnections_), Metrics_,
                 [this](auto &Request, auto &Response) {
                   answer(Request, Response);
                 }) {}
--- a/tests/libs/entry/brokenanswertest.cpp
+++ b/tests/libs/entry/brokenanswertest.cpp
@@ -51,10 +51,13 @@
   entry::ConnectionPool Connections_{"127.0.0.1", 4, 500ms};
   entry::Forwarder Forwarder_{Connections_, Clock_};
   std::uint16_t Port_ = freePort();
+  telemetry::MetricsRegistry Metrics_;
   httpkit::HttpServer Server_{
-      {"127.0.0.1", Port_}, 4, [this](auto &Request, auto &Response) {
-        forward(Request, Response);
-      }};
+      "test",
+      {"127.0.0.1", Port_},
+      4,
+      Metrics_,
+      [this](auto &Request, auto &Response) { forward(Request, Response); }};
   std::atomic<int> LastId_{0};
   /// Time that a request has.
   std::atomic<base::Duration> Timeout_{5s};
--- a/tests/libs/entry/requestvalidatortest.cpp
+++ b/tests/libs/entry/requestvalidatortest.cpp
@@ -94,10 +94,13 @@
   RequestValidator Validator_{State_, Clock_, Admission_, IdGenerator_};
   std::uint16_t Port_ =
       ServerSocket(SocketAddress(Address, 0)).address().port();
+  telemetry::MetricsRegistry Metrics_;
   httpkit::HttpServer Server_{
-      {Address, Port_}, 4, [this](auto &Request, auto &Response) {
-        answer(Request, Response);
-      }};
+      "test",
+      {Address, Port_},
+      4,
+      Metrics_,
+      [this](auto &Request, auto &Response) { answer(Request, Response); }};
 };
 
 } // namespace
--- a/tests/libs/httpkit/httpservertest.cpp
+++ b/tests/libs/httpkit/httpservertest.cpp
@@ -11,8 +11,10 @@
 #include <boost/test/unit_test.hpp>
 
 #include <array>
+#include <atomic>
 #include <iterator>
 #include <string>
+#include <vector>
 
 using namespace ebony;
 using namespace Poco::Net;
@@ -31,8 +33,9 @@
 
 BOOST_AUTO_TEST_CASE(rejectedUploadReceivesCompleteResponse) {
   const std::uint16_t Port = freePort();
+  telemetry::MetricsRegistry Metrics;
   httpkit::HttpServer Server(
-      {"127.0.0.1", Port}, 4,
+      "test", {"127.0.0.1", Port}, 4, Metrics,
       [](HTTPServerRequest & /*Request*/, HTTPServerResponse &Response) {
         Response.setStatusAndReason(HTTPResponse::HTTP_TOO_MANY_REQUESTS);
         Response.sendBuffer("no", 2);
@@ -55,8 +58,9 @@
 
 BOOST_AUTO_TEST_CASE(sendsRefusalBeforeBodyArrives) {
   const std::uint16_t Port = freePort();
+  telemetry::MetricsRegistry Metrics;
   httpkit::HttpServer Server(
-      {"127.0.0.1", Port}, 4,
+      "test", {"127.0.0.1", Port}, 4, Metrics,
       [](HTTPServerRequest & /*Request*/, HTTPServerResponse &Response) {
         httpkit::sendProblem(Response, {429, httpkit::Outcome::NotRun, "test",
                                         "Wait.", std::nullopt});
@@ -75,4 +79,65 @@
   Server.stopGracefully(1);
 }
 
+// A server of two connections, a crowd that sends nothing or a part of a head,
+// and one more caller.
+BOOST_AUTO_TEST_CASE(clientsThatSendNothingMakeRoomForOthers) {
+  const std::uint16_t Port = freePort();
+  telemetry::MetricsRegistry Metrics;
+  httpkit::HttpServer Server(
+      "test", {"127.0.0.1", Port}, 2, Metrics,
+      [](HTTPServerRequest & /*Request*/, HTTPServerResponse &Response) {
+        Response.sendBuffer("ok", 2);
+      });
+  Server.start();
+  std::vector<StreamSocket> Crowd;
+  for (int I = 0; I < 8; ++I) {
+    Crowd.emplace_back(SocketAddress("127.0.0.1", Port));
+    if (I % 2)
+      Crowd.back().sendBytes("GET / HTTP/1.1\r\nA: ", 19);
+  }
+  HTTPClientSession Session("127.0.0.1", Port);
+  Session.setTimeout(Poco::Timespan(5, 0));
+  HTTPRequest Request("GET", "/", HTTPMessage::HTTP_1_1);
+  Session.sendRequest(Request);
+  HTTPResponse Response;
+  Session.receiveResponse(Response);
+  BOOST_TEST(Response.getStatus() == HTTPResponse::HTTP_OK);
+  Crowd.clear();
+  Server.stopGracefully(1);
+}
+
+// The parser takes the end of the connection for the end of the head.
+BOOST_AUTO_TEST_CASE(requestWhoseHeadIsCutOrTooLargeIsNotAnswered) {
+  const std::uint16_t Port = freePort();
+  telemetry::MetricsRegistry Metrics;
+  std::atomic<int> Answered = 0;
+  httpkit::HttpServer Server(
+      "test", {"127.0.0.1", Port}, 4, Metrics,
+      [&](HTTPServerRequest & /*Request*/, HTTPServerResponse &Response) {
+        ++Answered;
+        Response.sendBuffer("ok", 2);
+      });
+  Server.start();
+  std::string Fields;
+  for (int I = 0; I < 40; ++I)
+    Fields += "f" + std::to_string(I) + ": " + std::string(4000, 'v') + "\r\n";
+  for (const std::string &Head : {std::string("A: b\r\n"), Fields}) {
+    StreamSocket Socket(SocketAddress("127.0.0.1", Port));
+    Socket.setReceiveTimeout(Poco::Timespan(5, 0));
+    const std::string Bytes = "GET / HTTP/1.1\r\n" + Head;
+    std::array<char, 1024> Answer{};
+    try {
+      Socket.sendBytes(Bytes.data(), static_cast<int>(Bytes.size()));
+      Socket.shutdownSend();
+      while (Socket.receiveBytes(Answer.data(), Answer.size()) > 0)
+        ;
+    } catch (const Poco::Exception &) {
+      // The server may reset the connection.
+    }
+  }
+  Server.stopGracefully(1);
+  BOOST_TEST(Answered == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
