Don't pass on a part of an upload as a whole one in ebony-entryd

What callers saw: an upload in chunks that was cut, that exceeded the limit of its service, or whose client stopped until the read timed out reached the upstream with its last chunk, so that the upstream took a part for the whole.

Cause: the stream of a chunked body ends in the same way at the end of the connection, and the destructor of the stream to the upstream writes the last chunk. Besides, a body had no deadline as a whole, only each read had one.

--- a/src/libs/entry/forwarder.cpp
+++ b/src/libs/entry/forwarder.cpp
@@ -138,10 +138,17 @@
     Exchange.IsSent_ = Session.endRequest(Sink);
     return {ForwardStatus::Answered, std::nullopt};
   case BodyResult::TooLarge:
+    Session.abort();
     return {ForwardStatus::BodyTooLarge, std::nullopt};
+  case BodyResult::TooSlow:
+    Session.abort();
+    return {ForwardStatus::BodyTooSlow, std::nullopt};
   case BodyResult::CallerDisconnected:
     break;
   }
+  // Else the end of the stream would write the last chunk of a body that is not
+  // complete.
+  Session.abort();
   return {ForwardStatus::CallerDisconnected, std::nullopt};
 }
 
--- a/src/libs/entry/forwarder.h
+++ b/src/libs/entry/forwarder.h
@@ -30,6 +30,8 @@
   BodyTooLarge,
   /// The caller disconnected while its body was forwarded.
   CallerDisconnected,
+  /// The deadline passed while the body was forwarded.
+  BodyTooSlow,
 };
 
 /// Result of one attempt.
--- a/src/libs/entry/requestbody.h
+++ b/src/libs/entry/requestbody.h
@@ -1,6 +1,8 @@
 #ifndef EBONY_ENTRY_REQUESTBODY_H
 #define EBONY_ENTRY_REQUESTBODY_H
 
+#include "base/clock.h"
+
 #include <Poco/Net/HTTPServerRequest.h>
 
 #include <cstdint>
@@ -15,6 +17,8 @@
   TooLarge,
   /// The caller's connection closed before the whole body arrived.
   CallerDisconnected,
+  /// The deadline passed before the whole body arrived.
+  TooSlow,
 };
 
 /// Body of a caller's request. A small body is buffered, so that it can be sent
@@ -22,11 +26,13 @@
 /// body is streamed once.
 class RequestBody {
 public:
-  RequestBody(Poco::Net::HTTPServerRequest &Request, std::int64_t MaxBytes);
+  /// The body is read until \p Deadline by \p Clock.
+  RequestBody(Poco::Net::HTTPServerRequest &Request, std::int64_t MaxBytes,
+              const base::Clock &Clock, base::TimePoint Deadline);
 
-  /// Reads a small body into memory. Returns false when the caller disconnected
-  /// before the end of the body.
-  bool bufferSmallBody();
+  /// Reads a small body into memory. Returns Sent when it was read, or when it
+  /// is to be streamed.
+  BodyResult bufferSmallBody();
 
   /// Returns whether sendTo may be called again.
   bool canResend() const { return IsBuffered_ || !IsConsumed_; }
@@ -38,8 +44,15 @@
   BodyResult sendTo(std::ostream &Sink);
 
 private:
+  /// Reads the next part of the body into \p Buffer. Returns the number of
+  /// bytes; 0 at the end of the body or of the connection.
+  std::streamsize readPart(char *Buffer, std::streamsize Size);
+  bool hasDeadlinePassed() const { return Clock_.now() >= Deadline_; }
+
   Poco::Net::HTTPServerRequest &Request_;
   std::int64_t MaxBytes_;
+  const base::Clock &Clock_;
+  base::TimePoint Deadline_;
   std::int64_t DeclaredLength_;
   bool IsBuffered_ = false;
   bool IsConsumed_ = false;
--- a/src/libs/entry/requestpipeline.cpp
+++ b/src/libs/entry/requestpipeline.cpp
@@ -8,6 +8,7 @@
 using httpkit::Outcome;
 using httpkit::Problem;
 
+constexpr int RequestTimeout = 408;
 constexpr int TooLarge = 413;
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
@@ -16,6 +17,14 @@
 constexpr std::size_t MaxRelayCandidates = 2;
 constexpr base::Duration OverloadRetryAfter = std::chrono::seconds(1);
 
+/// Only a request of which no part was sent to an upstream gets the status that
+/// promises that it did not run.
+Problem bodyTooSlow(Outcome Result) {
+  return {Result == Outcome::NotRun ? RequestTimeout : GatewayTimeout, Result,
+          "body-too-slow", "Send the body before the request's deadline.",
+          std::nullopt};
+}
+
 Problem stoppingProblem() {
   return {Unavailable, Outcome::NotRun, "vm-leaving",
           "Look up another entry VM; this one is leaving.", std::nullopt};
@@ -78,8 +87,9 @@
   }
   const auto &Context = std::get<RequestContext>(Validation);
   Response.set("Ebony-Request-Id", Context.Id_.text());
-  ActiveRequest Active{Context, Request, Response,
-                       RequestBody(Request, Context.MaxBodyBytes_)};
+  ActiveRequest Active{
+      Context, Request, Response,
+      RequestBody(Request, Context.MaxBodyBytes_, Clock_, Context.Deadline_)};
   const StepResult Refusal = serve(Active);
   Latency_.record(Clock_.now() - Context.ArrivedAt_);
   if (!Refusal) {
@@ -94,7 +104,13 @@
 }
 
 RequestPipeline::StepResult RequestPipeline::serve(ActiveRequest &Active) {
-  if (!Active.Body_.bufferSmallBody()) {
+  switch (Active.Body_.bufferSmallBody()) {
+  case BodyResult::Sent:
+    break;
+  case BodyResult::TooSlow:
+    Active.Response_.setKeepAlive(false);
+    return bodyTooSlow(Outcome::NotRun);
+  default:
     Active.Response_.setKeepAlive(false);
     return Problem{400, Outcome::NotRun, "body-cut",
                    "Send the whole body that the head declares.", std::nullopt};
@@ -148,6 +164,7 @@
     Slot.recordResult(routing::AttemptResult::Shed, Result.ReportedPermille_);
   else if (Result.Status_ == ForwardStatus::Answered ||
            Result.Status_ == ForwardStatus::CallerDisconnected ||
+           Result.Status_ == ForwardStatus::BodyTooSlow ||
            Result.Status_ == ForwardStatus::BodyTooLarge)
     Slot.recordResult(routing::AttemptResult::Answered,
                       Result.ReportedPermille_);
@@ -220,6 +237,9 @@
     return Problem{TooLarge, Outcome::Unknown, "body-too-large",
                    "Send a smaller body; the service's limit is exceeded.",
                    std::nullopt};
+  case ForwardStatus::BodyTooSlow:
+    Active.Response_.setKeepAlive(false);
+    return bodyTooSlow(Outcome::Unknown);
   case ForwardStatus::CallerDisconnected:
     Active.Response_.setKeepAlive(false);
     return Problem{400, Outcome::Unknown, "body-cut",
--- a/tests/libs/entry/brokenanswertest.cpp
+++ b/tests/libs/entry/brokenanswertest.cpp
@@ -77,8 +77,9 @@
     Context.ArrivedAt_ = Clock_.now();
     Context.Deadline_ = Context.ArrivedAt_ + Timeout_.load();
     Context.MaxBodyBytes_ = 64 << 20;
-    entry::RequestBody Body(Request, Context.MaxBodyBytes_);
-    if (!Body.bufferSmallBody())
+    entry::RequestBody Body(Request, Context.MaxBodyBytes_, Clock_,
+                            Context.Deadline_);
+    if (Body.bufferSmallBody() != entry::BodyResult::Sent)
       return;
     const entry::ForwardResult Result = Forwarder_.forward(
         Context, Request, Body, {"127.0.0.1", Upstream_.port()}, Response);
