Limit bodies of records that come in chunks

Cause: only the announced length was compared with the limit of 16 MiB, and a chunked body announces none.

Why it works: the body is read in parts and given up at the limit, with 413.

--- a/src/libs/agent/operatorapi.cpp
+++ b/src/libs/agent/operatorapi.cpp
@@ -10,9 +10,9 @@
 #include "json/jsontext.h"
 
 #include <Poco/JSON/Array.h>
-#include <Poco/StreamCopier.h>
 #include <Poco/URI.h>
 
+#include <array>
 #include <random>
 #include <sstream>
 #include <thread>
@@ -60,10 +60,19 @@
   return Bytes;
 }
 
-std::string readBody(Poco::Net::HTTPServerRequest &Request) {
+/// Returns the body, or std::nullopt if it is too large.
+std::optional<std::string> readBody(Poco::Net::HTTPServerRequest &Request) {
+  constexpr std::size_t PartBytes = 8UL * 1024;
   std::string Body;
-  if (Request.getContentLength64() <= MaxBodyBytes)
-    Poco::StreamCopier::copyToString(Request.stream(), Body);
+  if (Request.getContentLength64() > MaxBodyBytes)
+    return std::nullopt;
+  std::array<char, PartBytes> Part{};
+  std::istream &Input = Request.stream();
+  while (Input.read(Part.data(), Part.size()) || Input.gcount() > 0) {
+    Body.append(Part.data(), static_cast<std::size_t>(Input.gcount()));
+    if (static_cast<std::int64_t>(Body.size()) > MaxBodyBytes)
+      return std::nullopt;
+  }
   return Body;
 }
 
@@ -165,8 +174,15 @@
 }
 
 void OperatorApi::applyRecords(HttpRequest &Request, HttpResponse &Response) {
-  const auto Records = records::parseRecords(
-      Request.get("Ebony-Source", "request"), readBody(Request));
+  const auto Body = readBody(Request);
+  if (!Body) {
+    Response.setKeepAlive(false);
+    return httpkit::sendProblem(
+        Response, {413, Outcome::NotRun, "records-too-large",
+                   "Send at most 16 MiB of records at once.", std::nullopt});
+  }
+  const auto Records =
+      records::parseRecords(Request.get("Ebony-Source", "request"), *Body);
   if (Records.has_error())
     return sendFindings(Response, Records.error());
   ChangeSubmission Submission = makeSubmission(Request);
