Limit the frames and connections of the agents' message port

Cause: requests had the frame limit of replies, 16 MiB, and buffers are kept until a frame is whole.

Why it works: a request holds a few numbers and names, so its frame has at most 64 KiB; replies keep their limit. At 128 connections the least active one is closed.

--- a/src/libs/wire/wireclient.h
+++ b/src/libs/wire/wireclient.h
@@ -20,10 +20,10 @@
 public:
   WireClient(const Endpoint &Peer, base::Duration Timeout)
       : Socket_(std::make_shared<apache::thrift::transport::TSocket>(
-            Peer.Address_, Peer.Port_, wireConfiguration())),
+            Peer.Address_, Peer.Port_, wireConfiguration(MaxReplyFrameBytes))),
         Transport_(
             std::make_shared<apache::thrift::transport::TFramedTransport>(
-                Socket_, wireConfiguration())),
+                Socket_, wireConfiguration(MaxReplyFrameBytes))),
         Stub_(std::make_shared<apache::thrift::protocol::TCompactProtocol>(
             Transport_)) {
     const auto Millis = static_cast<int>(
--- a/src/libs/wire/wireserver.h
+++ b/src/libs/wire/wireserver.h
@@ -13,7 +13,8 @@
 /// Serves one Thrift processor over framed TCP on one address.
 class WireServer {
 public:
-  /// Accepts at most \p MaxConnections connections at once; further ones wait.
+  /// Accepts at most \p MaxConnections connections at once. A further one takes
+  /// the place of the least active.
   WireServer(const Endpoint &Listen,
              const std::shared_ptr<apache::thrift::TProcessor> &Processor,
              std::size_t MaxConnections);
