Move what the head of a request decides out of RequestExchange

A connection is going to ask it before it reads the body. RequestExchange::reject() takes the whole refusal, so that one may name a time to return.

--- a/src/libs/vm/callersession.cpp
+++ b/src/libs/vm/callersession.cpp
@@ -121,7 +121,7 @@
   if (Result != RequestReader::HeadStatus::Read) {
     const ExchangePtr Rejected = makeExchange(CallerRequest(), Arrived);
     Queue_.push(Rejected, false);
-    Rejected->reject(statusFor(Result), "bad-request");
+    Rejected->reject({statusFor(Result), "bad-request", {}});
     co_return false;
   }
   CallerRequest Request = takeHead();
--- a/src/libs/vm/requestexchange.cpp
+++ b/src/libs/vm/requestexchange.cpp
@@ -25,14 +25,6 @@
 using traffic::PlacementAction;
 using traffic::RetryPolicy;
 
-// Retry-After for callers of a VM that has no configuration, or whose
-// configuration is too old for keys to be trusted.
-constexpr base::Duration NoConfigurationRetryAfter =
-    std::chrono::milliseconds(500);
-
-// Retry-After for callers of a VM that is stopping: another VM serves them.
-constexpr base::Duration StoppingRetryAfter = std::chrono::milliseconds(50);
-
 // Connect timeout: a few round trips between regions.
 constexpr base::Duration ConnectTimeout = std::chrono::milliseconds(350);
 
@@ -68,11 +60,6 @@
   return Status == Unavailable || Status == TooMany;
 }
 
-/// Returns the host of a Host header without its port.
-std::string_view hostWithoutPort(std::string_view Value) {
-  return Value.substr(0, Value.rfind(':'));
-}
-
 } // namespace
 
 RequestExchange::RequestExchange(VmState &State, AsyncDispatcher &Dispatcher,
@@ -89,18 +76,10 @@
 bool RequestExchange::isAtMostOnce() const {
   if (!State_.Rules_)
     return false;
-  const traffic::RouteSettings *Route = findRoute(*State_.Rules_);
+  const traffic::RouteSettings *Route = findRoute(*State_.Rules_, Request_);
   return Route && Route->RetryPolicy_ == RetryPolicy::AtMostOnce;
 }
 
-const traffic::RouteSettings *
-RequestExchange::findRoute(const traffic::TrafficRules &Rules) const {
-  const std::string_view Path =
-      std::string_view(Request_.Target_).substr(0, Request_.Target_.find('?'));
-  return Rules.findRoute(hostWithoutPort(valueOf(Request_.Fields_, "Host")),
-                         Path);
-}
-
 void RequestExchange::start(bool IsAlone) {
   HasStarted_ = true;
   asio::co_spawn(State_.Context_, run(shared_from_this(), IsAlone),
@@ -124,9 +103,9 @@
   Self->setResponseReady();
 }
 
-void RequestExchange::reject(unsigned Status, std::string Reason) {
+void RequestExchange::reject(const RequestRefusal &Refusal) {
   HasStarted_ = true;
-  answer(Status, std::move(Reason), base::Duration::zero());
+  answer(Refusal.Status_, Refusal.Reason_, Refusal.RetryAfter_);
   setResponseReady();
 }
 
@@ -154,42 +133,23 @@
 }
 
 awaitable<void> RequestExchange::process(bool IsAlone) {
-  if (State_.RefusesNewRequests_) {
-    answer(503, "stopping", StoppingRetryAfter);
-    co_return;
-  }
   const traffic::TrafficRulesPtr Rules = State_.Rules_;
-  if (!Rules || !State_.KnowsUpstreams_) {
-    answer(503, "no-configuration", NoConfigurationRetryAfter);
-    co_return;
-  }
-  const traffic::RouteSettings *Route = findRoute(*Rules);
-  if (!Route) {
-    answer(404, "no-route", base::Duration::zero());
+  const HeadDecision Decision = checkHead(State_, Request_);
+  const traffic::RouteSettings *Route = Decision.Route_;
+  if (Route)
+    Outcome_.Route_ = Route->Name_;
+  if (Route && !IsAlone && Route->RetryPolicy_ == RetryPolicy::AtMostOnce) {
+    answer(503, "route-changed", NoConfigurationRetryAfter);
     co_return;
   }
-  Outcome_.Route_ = Route->Name_;
-  if (!IsAlone && Route->RetryPolicy_ == RetryPolicy::AtMostOnce) {
-    answer(503, "route-changed", NoConfigurationRetryAfter);
+  if (Decision.Refusal_) {
+    answer(Decision.Refusal_->Status_, Decision.Refusal_->Reason_,
+           Decision.Refusal_->RetryAfter_);
     co_return;
   }
-  const traffic::CustomerSettings *Customer = nullptr;
-  if (Rules->areKeysRequired() && !Route->IsPublic_) {
-    if (!State_.KeyTrust_.isFresh(State_.now()) ||
-        !State_.PlanTrust_.isFresh(State_.now())) {
-      answer(503, "keys-not-current", NoConfigurationRetryAfter);
-      co_return;
-    }
-    const std::string &Scheme = State_.Platform_.Headers_.KeyScheme_;
-    const std::string_view Key = valueOf(Request_.Fields_, "Authorization");
-    if (Key.starts_with(Scheme))
-      Customer = Rules->findCustomer(Key.substr(Scheme.size()));
-    if (!Customer) {
-      answer(401, "unknown-key", base::Duration::zero());
-      co_return;
-    }
+  const traffic::CustomerSettings *Customer = Decision.Customer_;
+  if (Customer)
     Request_.Customer_ = Customer->Name_.text();
-  }
   if (const auto RefusedFor = refusedForCrashes()) {
     answer(503, "ends-upstreams", *RefusedFor);
     co_return;
--- a/src/libs/vm/requestexchange.h
+++ b/src/libs/vm/requestexchange.h
@@ -5,6 +5,7 @@
 #include "traffic/attempttally.h"
 #include "traffic/requestfingerprint.h"
 #include "vm/asyncdispatcher.h"
+#include "vm/headcheck.h"
 #include "vm/quotaadmission.h"
 #include "vm/requestorigin.h"
 #include "vm/requestoutcome.h"
@@ -34,7 +35,7 @@
   void start(bool IsAlone);
 
   /// Answers the request without processing it, such as a malformed one.
-  void reject(unsigned Status, std::string Reason);
+  void reject(const RequestRefusal &Refusal);
 
   /// Ends the processing: the caller has disconnected.
   void abandon();
@@ -60,8 +61,6 @@
   /// Returns false if the request has to be processed here.
   asynckit::awaitable<bool> relay(std::vector<base::RegionName> HomeRegions,
                                   base::TimePoint Deadline);
-  const traffic::RouteSettings *
-  findRoute(const traffic::TrafficRules &Rules) const;
   AttemptOptions attemptOptions(const PlacedJob &Chosen,
                                 const traffic::RouteSettings &Route);
   /// Logs and counts a send to an upstream that is cold.
