Divide a limited memory among the callers of ebony-vmd

What callers saw: in a trial of the users a crowd of clients whose requests are legal one by one ended a process, which ran out of memory.

Cause: each connection was limited (512 KiB of body in a string that doubles, 64 KiB unparsed, eight requests), their sum was not. Bodies were kept even if the head had decided the request: for a path without a route, without a key.

Why it works: CallerMemory is one ledger of what is held for callers: unparsed bytes (with the socket's buffer while it is left unread), heads with what their fields take, bodies, responses that wait. A quarter of the machine's memory is divided. When it is short, the connection that has held the most for the longest time while it waited for its caller is refused (503, nothing was processed) or closed; connections at work are not; a client that goes on sending starts its wait anew each 16 KiB. Small requests keep a quarter that large ones can't take. Heads decide before a byte of the body is kept and before 100 Continue. What a crowd has freed goes back to the system.

Setting machine.memoryMb, from the platform's settings, else the physical memory.

--- a/src/libs/vm/callerinput.cpp
+++ b/src/libs/vm/callerinput.cpp
@@ -12,13 +12,19 @@
 // Bytes that are kept unparsed before the socket is left unread.
 constexpr std::size_t MaxUnparsedBytes = 64UL * 1024;
 
+// Reads whose times are kept apart; the bytes of further ones count as arrived
+// with the last of these.
+constexpr std::size_t MaxArrivals = 64;
+
 // Bytes that are read at once.
 constexpr std::size_t ReadBytes = 8UL * 1024;
 
 } // namespace
 
-void CallerInput::start(std::function<void()> OnDisconnect) {
+void CallerInput::start(std::function<void()> OnDisconnect,
+                        std::function<void()> OnRead) {
   OnDisconnect_ = std::move(OnDisconnect);
+  OnRead_ = std::move(OnRead);
   arm();
 }
 
@@ -27,6 +33,12 @@
 void CallerInput::detach() {
   Socket_ = nullptr;
   OnDisconnect_ = nullptr;
+  OnRead_ = nullptr;
+}
+
+std::size_t CallerInput::heldBytes() const {
+  const bool IsLeftUnread = bytes().size() >= MaxUnparsedBytes;
+  return Bytes_.capacity() + (IsLeftUnread ? ReceiveBufferBytes : 0);
 }
 
 void CallerInput::consume(std::size_t Count) {
@@ -83,9 +95,15 @@
     Consumed_ = 0;
   }
   Bytes_.append(Chunk.data(), static_cast<std::size_t>(Received));
-  Arrivals_.push_back({BytesBefore_ + Bytes_.size(), Clock_.now()});
+  const std::uint64_t End = BytesBefore_ + Bytes_.size();
+  if (Arrivals_.size() < MaxArrivals)
+    Arrivals_.push_back({End, Clock_.now()});
+  else
+    Arrivals_.back().End_ = End;
   arm();
   Changed_.notify();
+  if (OnRead_)
+    OnRead_();
 }
 
 void CallerInput::end(bool IsDisconnect) {
--- a/src/libs/vm/callerinput.h
+++ b/src/libs/vm/callerinput.h
@@ -22,13 +22,17 @@
 /// bound.
 class CallerInput : public std::enable_shared_from_this<CallerInput> {
 public:
+  /// Size of the receive buffer of a caller's socket.
+  static constexpr int ReceiveBufferBytes = 128 * 1024;
+
   CallerInput(boost::asio::io_context &Context,
               boost::asio::ip::tcp::socket &Socket, const base::Clock &Clock)
       : Socket_(&Socket), Clock_(Clock), Changed_(Context) {}
 
   /// Starts reading. \p OnDisconnect is called once when the caller closes the
-  /// connection or it fails.
-  void start(std::function<void()> OnDisconnect);
+  /// connection or it fails, \p OnRead whenever bytes were added.
+  void start(std::function<void()> OnDisconnect,
+             std::function<void()> OnRead = nullptr);
 
   /// Ends the input: nothing more is read, and bytes() stays as it is.
   void stop();
@@ -40,6 +44,10 @@
     return std::string_view(Bytes_).substr(Consumed_);
   }
 
+  /// Returns the memory that the bytes take, with those that wait in the socket
+  /// while it is left unread.
+  std::size_t heldBytes() const;
+
   /// Removes the first \p Count bytes.
   void consume(std::size_t Count);
 
@@ -49,6 +57,9 @@
   /// Whether no more bytes will be added.
   bool hasEnded() const { return HasEnded_; }
 
+  /// Resumes what waits for a change.
+  void wake() { Changed_.notify(); }
+
   /// Waits until bytes were added or the input has ended.
   asynckit::awaitable<void> awaitChange() { co_await Changed_.wait(); }
 
@@ -68,6 +79,7 @@
   const base::Clock &Clock_;
   asynckit::AutoResetEvent Changed_;
   std::function<void()> OnDisconnect_;
+  std::function<void()> OnRead_;
   std::string Bytes_;
   std::size_t Consumed_ = 0;
   /// Number of bytes of the connection before Bytes_.
--- a/src/libs/vm/callerrequest.h
+++ b/src/libs/vm/callerrequest.h
@@ -36,6 +36,9 @@
   base::Duration Deadline_ = DefaultDeadline;
 };
 
+/// Returns the memory that \p Request takes.
+std::size_t memoryOf(const CallerRequest &Request);
+
 } // namespace ebony::vm
 
 #endif
--- a/src/libs/vm/callersession.cpp
+++ b/src/libs/vm/callersession.cpp
@@ -20,6 +20,16 @@
 // upstream. Longer bodies are streamed and sent once.
 constexpr std::size_t MaxReplayableBody = 512UL * 1024;
 
+// Delay after which a caller may retry that was refused in favour of others,
+// and the spread that keeps callers from returning together.
+constexpr base::Duration ShortageRetryAfter = std::chrono::milliseconds(500);
+constexpr unsigned ShortageRetrySpreadMs = 500;
+
+// A caller that sends this much of a body is not taken for stopped.
+constexpr std::size_t ProgressBytes = 16UL * 1024;
+
+constexpr unsigned Unavailable = 503;
+
 // Time after which a connection with unacknowledged data is closed.
 constexpr unsigned TcpUserTimeoutMs = 5000;
 
@@ -42,7 +52,9 @@
       Origin_(Origin), Socket_(std::move(Socket)),
       Input_(
           std::make_shared<CallerInput>(State.Context_, Socket_, State.Clock_)),
-      Reader_(*Input_), Writer_(Socket_, State.Platform_.Headers_),
+      Reader_(*Input_),
+      Writer_(Socket_, State.Platform_.Headers_, Share_, State.Clock_),
+      Share_(State.CallerMemory_, [this] { evict(); }),
       Timer_(State.Deadlines_), Queue_(State.Settings_.MaxPipelinedRequests_),
       ReaderWakeup_(State.Context_), WriterWakeup_(State.Context_) {
   error_code Ignored; // The options only reduce latency.
@@ -57,11 +69,54 @@
   return Queue_.empty() && !IsReceiving_ && Input_->bytes().empty();
 }
 
+std::size_t CallerSession::heldBytes() const {
+  std::size_t Bytes = Input_->heldBytes() + IncomingBytes_;
+  Queue_.forEach([&Bytes](const RequestExchange &Exchange) {
+    Bytes += Exchange.heldBytes();
+  });
+  return Bytes;
+}
+
+bool CallerSession::updateMemory() {
+  return Share_.resize(IsOver_ ? 0 : heldBytes(), State_.now());
+}
+
+void CallerSession::accountForInput() {
+  if (updateMemory())
+    return;
+  // The request was refused, or is as soon as its head has been parsed.
+  if (MayLinger_ || (Queue_.empty() && !IsReadingBody_))
+    Share_.resizeUnchecked(heldBytes(), State_.now());
+  else
+    evict();
+}
+
+void CallerSession::evict() {
+  if (IsOver_)
+    return;
+  State_.Metrics_.EvictedConnections_.add();
+  IsEvicted_ = true;
+  // The request was not processed, so its caller can be told.
+  if (IsReadingBody_ && Queue_.empty())
+    Reader_.stop();
+  else
+    close();
+}
+
+void CallerSession::recordBodyProgress(std::size_t Received) {
+  BytesSinceProgress_ += Received;
+  if (BytesSinceProgress_ < ProgressBytes)
+    return;
+  BytesSinceProgress_ = 0;
+  Share_.beginWait(CallerWait::Send, State_.now());
+}
+
 void CallerSession::close() {
   if (IsOver_)
     return;
   IsOver_ = true;
   Timer_.disarm();
+  Share_.endWait(CallerWait::Send);
   Queue_.forEach([](RequestExchange &Exchange) { Exchange.abandon(); });
   Queue_.clear();
   Input_->stop();
@@ -70,14 +125,21 @@
   error_code Ignored; // The connection is discarded either way.
   Socket_.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
   Socket_.close(Ignored);
+  updateMemory();
 }
 
 awaitable<void> CallerSession::run(std::shared_ptr<CallerSession> Self) {
   const std::weak_ptr<CallerSession> Weak = Self;
-  Self->Input_->start([Weak] {
-    if (const auto Session = Weak.lock())
-      Session->handleDisconnect();
-  });
+  Self->Input_->start(
+      [Weak] {
+        if (const auto Session = Weak.lock())
+          Session->handleDisconnect();
+      },
+      [Weak] {
+        const auto Session = Weak.lock();
+        if (Session)
+          Session->accountForInput();
+      });
   asio::co_spawn(Self->State_.Context_, writeAll(Self), asio::detached);
   co_await Self->readAll();
 }
@@ -114,24 +176,43 @@
   IsReceiving_ = true;
   const base::TimePoint Arrived = Input_->arrivedAt();
   Timer_.arm(State_.now() + Limits.HeaderTimeout_, [this] { Input_->stop(); });
+  Share_.beginWait(CallerWait::Send, State_.now());
   const RequestReader::HeadStatus Result = co_await Reader_.readHead();
+  Share_.endWait(CallerWait::Send);
   Timer_.disarm();
   if (Result == RequestReader::HeadStatus::Ended || IsOver_ || IsClosing_)
     co_return false;
   if (Result != RequestReader::HeadStatus::Read) {
-    const ExchangePtr Rejected = makeExchange(CallerRequest(), Arrived);
-    Queue_.push(Rejected, false);
-    Rejected->reject({statusFor(Result), "bad-request", {}});
+    refuse(CallerRequest(), Arrived, {statusFor(Result), "bad-request", {}});
     co_return false;
   }
   CallerRequest Request = takeHead();
-  Timer_.arm(Arrived + Request.Deadline_, [this] { Input_->stop(); });
-  bool IsReceived = co_await confirmExpectation(Request);
-  if (IsReceived)
-    IsReceived = co_await readBody(Request);
-  Timer_.disarm();
+  IncomingBytes_ = memoryOf(Request);
+  if (!updateMemory()) {
+    const RequestRefusal NoRoom = shortageRefusal(Request.Id_);
+    refuse(std::move(Request), Arrived, NoRoom);
+    co_return false;
+  }
+  std::optional<RequestRefusal> Refusal = refusalByHead(Request);
+  if (!Refusal && !Reader_.isComplete()) {
+    Timer_.arm(Arrived + Request.Deadline_, [this] { Input_->stop(); });
+    const bool MaySend = co_await confirmExpectation(Request);
+    if (MaySend)
+      Refusal = co_await readBody(Request);
+    else
+      Refusal = RequestRefusal{0, "", {}};
+    Timer_.disarm();
+  }
   // A caller that has disconnected meanwhile waits for no response.
-  if (!IsReceived || IsOver_ || IsClosing_ || Input_->hasEnded())
+  if (IsOver_ || IsClosing_)
+    co_return false;
+  if (Refusal) {
+    if (Refusal->Status_ != 0)
+      refuse(std::move(Request), Arrived, *Refusal);
+    co_return Refusal->Status_ != 0 && Reader_.isComplete() &&
+        Reader_.parser().keep_alive();
+  }
+  if (Input_->hasEnded())
     co_return false;
   // The rest of a body that is not read completely would be parsed as the next
   // request.
@@ -140,12 +221,49 @@
   const bool RunsAlone =
       Exchange->isAtMostOnce() || Exchange->request().HasMoreBody_;
   IsReceiving_ = false;
-  if (Queue_.push(Exchange, RunsAlone))
+  IncomingBytes_ = 0;
+  const bool StartsNow = Queue_.push(Exchange, RunsAlone);
+  Share_.resizeUnchecked(heldBytes(), State_.now());
+  if (StartsNow && !IsOver_)
     Exchange->start(Queue_.size() == 1);
   WriterWakeup_.notify();
   co_return MayFollow;
 }
 
+void CallerSession::refuse(CallerRequest Request, base::TimePoint Arrived,
+                           const RequestRefusal &Refusal) {
+  Request.Body_ = std::string();
+  Request.HasMoreBody_ = false;
+  IncomingBytes_ = 0;
+  IsReceiving_ = false;
+  MayLinger_ = !Reader_.isComplete();
+  const ExchangePtr Rejected = makeExchange(std::move(Request), Arrived);
+  Queue_.push(Rejected, false);
+  Share_.resizeUnchecked(heldBytes(), State_.now());
+  Rejected->reject(Refusal);
+  WriterWakeup_.notify();
+}
+
+RequestRefusal CallerSession::shortageRefusal(const std::string &RequestId) {
+  const std::size_t Spread =
+      std::hash<std::string>()(RequestId) % ShortageRetrySpreadMs;
+  return {Unavailable, "resources-short",
+          ShortageRetryAfter + std::chrono::milliseconds(Spread)};
+}
+
+std::optional<RequestRefusal>
+CallerSession::refusalByHead(const CallerRequest &Request) {
+  if (Reader_.isComplete())
+    return std::nullopt;
+  const std::optional<RequestRefusal> Refusal =
+      checkHead(State_, Request).Refusal_;
+  if (!Refusal)
+    return std::nullopt;
+  // If the whole body has arrived, the connection can be kept.
+  Reader_.discardArrived();
+  return Refusal;
+}
+
 CallerRequest CallerSession::takeHead() {
   RequestReader::Parser &Parser = Reader_.parser();
   CallerRequest Request;
@@ -178,26 +296,52 @@
   co_return co_await Writer_.sendContinue();
 }
 
-awaitable<bool> CallerSession::readBody(CallerRequest &Request) {
-  while (!Reader_.isComplete() && Request.Body_.size() < MaxReplayableBody) {
-    const bool IsRead = co_await Reader_.readPiece(Request.Body_);
-    if (!IsRead)
-      co_return false;
+awaitable<std::optional<RequestRefusal>>
+CallerSession::readBody(CallerRequest &Request) {
+  IsReadingBody_ = true;
+  BytesSinceProgress_ = 0;
+  Share_.beginWait(CallerWait::Send, State_.now());
+  const std::size_t HeadBytes = IncomingBytes_;
+  bool IsRead = true;
+  bool HasRoom = true;
+  while (IsRead && HasRoom && !Reader_.isComplete() &&
+         Request.Body_.size() < MaxReplayableBody) {
+    const std::size_t Before = Request.Body_.size();
+    IsRead = co_await Reader_.readPiece(Request.Body_);
+    if (IsEvicted_)
+      break;
+    recordBodyProgress(Request.Body_.size() - Before);
+    IncomingBytes_ = HeadBytes + Request.Body_.capacity();
+    HasRoom = updateMemory();
   }
+  Share_.endWait(CallerWait::Send);
+  IsReadingBody_ = false;
+  if (!HasRoom || IsEvicted_)
+    co_return shortageRefusal(Request.Id_);
+  if (!IsRead)
+    co_return RequestRefusal{0, "", {}};
   Request.HasMoreBody_ = !Reader_.isComplete();
-  co_return true;
+  co_return std::nullopt;
 }
 
 CallerSession::ExchangePtr
 CallerSession::makeExchange(CallerRequest Request, base::TimePoint Arrived) {
   BodySource MoreBody;
   if (Request.HasMoreBody_)
-    MoreBody = [Self = shared_from_this()] {
-      return Self->Reader_.nextPiece();
-    };
-  return std::make_shared<RequestExchange>(State_, AsyncDispatcher_, Admission_,
-                                           Origin_, std::move(Request), Arrived,
-                                           std::move(MoreBody));
+    MoreBody = [Self = shared_from_this()] { return Self->nextPiece(); };
+  return std::make_shared<RequestExchange>(
+      State_, AsyncDispatcher_, Admission_, Origin_, std::move(Request),
+      Arrived, std::move(MoreBody), [Weak = weak_from_this()] {
+        if (const auto Self = Weak.lock())
+          Self->Share_.resizeUnchecked(Self->heldBytes(), Self->State_.now());
+      });
+}
+
+awaitable<std::optional<std::string>> CallerSession::nextPiece() {
+  Share_.beginWait(CallerWait::Send, State_.now());
+  std::optional<std::string> Piece = co_await Reader_.nextPiece();
+  Share_.endWait(CallerWait::Send);
+  co_return Piece;
 }
 
 awaitable<void> CallerSession::writeAll(std::shared_ptr<CallerSession> Self) {
@@ -227,7 +371,9 @@
   const bool IsSent = co_await Exchange->writeResponse(Writer_, KeepsOpen);
   if (!IsSent || !KeepsOpen || IsOver_)
     co_return false;
-  if (const ExchangePtr Next = Queue_.pop())
+  const ExchangePtr Next = Queue_.pop();
+  updateMemory();
+  if (Next)
     Next->start(Queue_.size() == 1);
   if (Queue_.empty() && !IsReceiving_)
     armIdleTimer();
--- a/src/libs/vm/requestexchange.cpp
+++ b/src/libs/vm/requestexchange.cpp
@@ -65,10 +65,12 @@
 RequestExchange::RequestExchange(VmState &State, AsyncDispatcher &Dispatcher,
                                  QuotaAdmission &Admission,
                                  RequestOrigin Origin, CallerRequest Request,
-                                 base::TimePoint Arrived, BodySource MoreBody)
+                                 base::TimePoint Arrived, BodySource MoreBody,
+                                 std::function<void()> OnResponse)
     : State_(State), AsyncDispatcher_(Dispatcher), Admission_(Admission),
       Origin_(Origin), Request_(std::move(Request)),
-      MoreBody_(std::move(MoreBody)), Tally_(State.Budget_, State.Dispatcher_),
+      MoreBody_(std::move(MoreBody)), OnResponse_(std::move(OnResponse)),
+      Tally_(State.Budget_, State.Dispatcher_),
       ResponseReady_(State.Context_) {
   Outcome_.Started_ = Arrived;
 }
@@ -80,6 +82,17 @@
   return Route && Route->RetryPolicy_ == RetryPolicy::AtMostOnce;
 }
 
+std::size_t RequestExchange::heldBytes() const {
+  const std::size_t Body = Request_.Body_.capacity();
+  std::size_t Bytes = memoryOf(Request_);
+  // An attempt sends the body from a copy.
+  if (Body > UpstreamAttempt::MaxInlineBody)
+    Bytes += Body;
+  if (IsReady_ && !OwnResponse_ && Attempt_)
+    Bytes += Attempt_->heldBytes();
+  return Bytes;
+}
+
 void RequestExchange::start(bool IsAlone) {
   HasStarted_ = true;
   asio::co_spawn(State_.Context_, run(shared_from_this(), IsAlone),
@@ -112,6 +125,8 @@
 void RequestExchange::setResponseReady() {
   IsReady_ = true;
   ReadySince_ = State_.now();
+  if (OnResponse_)
+    OnResponse_();
   ResponseReady_.notify();
 }
 
--- a/src/libs/vm/requestexchange.h
+++ b/src/libs/vm/requestexchange.h
@@ -20,11 +20,12 @@
 class RequestExchange : public std::enable_shared_from_this<RequestExchange> {
 public:
   /// \p Arrived is the time at which the request could be read. \p MoreBody
-  /// returns the part of the body that is not in \p Request.
+  /// returns the part of the body that is not in \p Request. \p OnResponse is
+  /// called when the response is available.
   RequestExchange(VmState &State, AsyncDispatcher &Dispatcher,
                   QuotaAdmission &Admission, RequestOrigin Origin,
                   CallerRequest Request, base::TimePoint Arrived,
-                  BodySource MoreBody);
+                  BodySource MoreBody, std::function<void()> OnResponse);
 
   /// Returns whether the route forbids that the request is repeated.
   bool isAtMostOnce() const;
@@ -49,6 +50,8 @@
                                           bool KeepsOpen);
 
   bool wasAbandoned() const { return IsAbandoned_; }
+  /// Returns the memory that the request and its response take.
+  std::size_t heldBytes() const;
   const CallerRequest &request() const { return Request_; }
 
 private:
@@ -94,6 +97,7 @@
   RequestOrigin Origin_;
   CallerRequest Request_;
   BodySource MoreBody_;
+  std::function<void()> OnResponse_;
   RequestOutcome Outcome_;
   std::optional<traffic::RequestFingerprint> Fingerprint_;
   traffic::AttemptTally Tally_;
--- a/src/libs/vm/requestreader.cpp
+++ b/src/libs/vm/requestreader.cpp
@@ -1,5 +1,7 @@
 #include "vm/requestreader.h"
 
+#include <array>
+
 namespace ebony::vm {
 
 namespace {
@@ -22,6 +24,7 @@
 } // namespace
 
 void RequestReader::begin(const traffic::CallerLimits &Limits) {
+  IsStopped_ = false;
   Parser_.emplace();
   Parser_->eager(false);
   Parser_->header_limit(Limits.HeaderBytes_);
@@ -75,7 +78,7 @@
     }
     if (Parsed > 0)
       continue;
-    if (Input_.hasEnded()) {
+    if (Input_.hasEnded() || IsStopped_) {
       IsRead = false;
       break;
     }
@@ -95,4 +98,27 @@
   co_return Piece;
 }
 
+void RequestReader::stop() {
+  IsStopped_ = true;
+  Input_.wake();
+}
+
+void RequestReader::discardArrived() {
+  std::array<char, PieceBytes> Discarded;
+  while (!isComplete() && !Input_.bytes().empty()) {
+    auto &Target = Parser_->get().body();
+    Target.data = Discarded.data();
+    Target.size = Discarded.size();
+    const std::string_view Bytes = Input_.bytes();
+    error_code Error;
+    const std::size_t Parsed =
+        Parser_->put(boost::asio::buffer(Bytes.data(), Bytes.size()), Error);
+    Input_.consume(Parsed);
+    const bool IsMalformed = Error && Error != http::error::need_more &&
+                             Error != http::error::need_buffer;
+    if (IsMalformed || Parsed == 0)
+      break;
+  }
+}
+
 } // namespace ebony::vm
--- a/src/libs/vm/requestreader.h
+++ b/src/libs/vm/requestreader.h
@@ -45,12 +45,19 @@
   /// std::nullopt if the connection failed.
   asynckit::awaitable<std::optional<std::string>> nextPiece();
 
+  /// Ends the reading of the current request: what waits for more of it fails.
+  void stop();
+
+  /// Discards the part of the body that has arrived.
+  void discardArrived();
+
   bool isComplete() const { return Parser_->is_done(); }
   Parser &parser() { return *Parser_; }
 
 private:
   CallerInput &Input_;
   std::optional<Parser> Parser_;
+  bool IsStopped_ = false;
 };
 
 } // namespace ebony::vm
--- a/src/libs/vm/responsewriter.cpp
+++ b/src/libs/vm/responsewriter.cpp
@@ -126,9 +126,11 @@
 }
 
 awaitable<bool> ResponseWriter::send(const std::string &Bytes) {
+  Share_.beginWait(CallerWait::Receive, Clock_.now());
   error_code Error;
   co_await boost::asio::async_write(Socket_, boost::asio::buffer(Bytes),
                                     into(Error));
+  Share_.endWait(CallerWait::Receive);
   co_return !Error;
 }
 
--- a/src/libs/vm/responsewriter.h
+++ b/src/libs/vm/responsewriter.h
@@ -2,6 +2,8 @@
 #define EBONY_VM_RESPONSEWRITER_H
 
 #include "asynckit/awaiting.h"
+#include "base/clock.h"
+#include "vm/callermemory.h"
 #include "vm/callerrequest.h"
 #include "vm/upstreamattempt.h"
 
@@ -26,8 +28,10 @@
   /// How the relay of an upstream's response ended.
   enum class RelayResult { Whole, CallerDisconnected, Truncated };
 
-  ResponseWriter(boost::asio::ip::tcp::socket &Socket, const HeaderNames &Names)
-      : Socket_(Socket), Names_(Names) {}
+  /// \p Share learns while the writer waits for the caller to read.
+  ResponseWriter(boost::asio::ip::tcp::socket &Socket, const HeaderNames &Names,
+                 MemoryShare &Share, const base::Clock &Clock)
+      : Socket_(Socket), Names_(Names), Share_(Share), Clock_(Clock) {}
 
   /// Sends \p Response. \p KeepsOpen is whether the connection stays open,
   /// which the response states. Returns false if sending failed.
@@ -48,6 +52,8 @@
 
   boost::asio::ip::tcp::socket &Socket_;
   const HeaderNames &Names_;
+  MemoryShare &Share_;
+  const base::Clock &Clock_;
 };
 
 } // namespace ebony::vm
--- a/src/libs/vm/upstreamattempt.cpp
+++ b/src/libs/vm/upstreamattempt.cpp
@@ -28,10 +28,8 @@
 // Size of the parts in which bodies are read.
 constexpr std::size_t PieceBytes = 8UL * 1024;
 
-// Request bodies up to this size are sent together with the head. Longer ones
-// are sent while the response is awaited, because an upstream may respond
-// before it has read them.
-constexpr std::size_t MaxInlineBody = 16UL * 1024;
+// Bytes of a response that may wait unread in the socket.
+constexpr std::size_t UnreadResponseBytes = 128UL * 1024;
 
 // Number of responses to earlier requests that are skipped before the attempt
 // fails.
@@ -129,6 +127,10 @@
                                       : AttemptResult::Answered;
 }
 
+std::size_t UpstreamAttempt::heldBytes() const {
+  return Body_.capacity() + (isComplete() ? 0 : UnreadResponseBytes);
+}
+
 void UpstreamAttempt::armTimer() {
   if (!Options_.MayGiveUp_) {
     armFinalTimer();
--- a/src/libs/vm/upstreamattempt.h
+++ b/src/libs/vm/upstreamattempt.h
@@ -53,6 +53,11 @@
 /// One attempt to have a request answered by an upstream, or by another VM.
 class UpstreamAttempt : public std::enable_shared_from_this<UpstreamAttempt> {
 public:
+  /// Request bodies up to this size are sent together with the head. Longer
+  /// ones are sent while the response is awaited, because an upstream may
+  /// respond before it has read them.
+  static constexpr std::size_t MaxInlineBody = 16UL * 1024;
+
   UpstreamAttempt(const HeaderNames &Names, UpstreamConnectionPool &Connections,
                   asynckit::DeadlineList &Deadlines, AttemptOptions Options);
   ~UpstreamAttempt();
@@ -78,6 +83,9 @@
   std::string_view reason() const;
   const std::string &body() const { return Body_; }
   bool isComplete() const { return Parser_ && Parser_->is_done() && !IsCut_; }
+  /// Returns the memory that the response takes, with what waits unread in the
+  /// socket.
+  std::size_t heldBytes() const;
   bool wasSent() const { return WasSent_; }
   /// Returns whether the attempt opened a new connection.
   bool hasOpenedConnection() const { return HasOpenedConnection_; }
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <csignal>
 #include <sstream>
@@ -55,6 +57,9 @@
 void listen(tcp::acceptor &Acceptor, const tcp::endpoint &Endpoint) {
   Acceptor.open(Endpoint.protocol());
   Acceptor.set_option(tcp::acceptor::reuse_address(true));
+  // Accepted sockets inherit the size.
+  Acceptor.set_option(
+      asio::socket_base::receive_buffer_size(CallerInput::ReceiveBufferBytes));
   Acceptor.bind(Endpoint);
   Acceptor.listen(Backlog);
 }
@@ -174,6 +179,28 @@
   }
 }
 
+// One line for each interval in which callers were refused or closed.
+void VmDaemon::logCallerLimits() {
+  const CallerMemory &Memory = *State_.CallerMemory_;
+  const CallerLimitCounts Counts{Memory.evictions(), Memory.refusals()};
+  State_.Metrics_.CallerMemoryBytes_.set(
+      static_cast<std::int64_t>(Memory.used()));
+  if (Counts != LoggedCounts_)
+    State_.log(
+        EventLine("caller-limits")
+            .add("memory_kb", static_cast<std::int64_t>(Memory.used() / 1024))
+            .add("memory_limit_kb",
+                 static_cast<std::int64_t>(Memory.capacity() / 1024))
+            .add("connections", static_cast<std::int64_t>(Sessions_.size()))
+            .add("evicted", Counts.Evicted_ - LoggedCounts_.Evicted_)
+            .add("no_room", Counts.Refused_ - LoggedCounts_.Refused_));
+  else if (WereCallersLimited_)
+    // Returns what the crowd has freed to the system.
+    malloc_trim(0);
+  WereCallersLimited_ = Counts != LoggedCounts_;
+  LoggedCounts_ = Counts;
+}
+
 awaitable<void> VmDaemon::runTicks() {
   asio::steady_timer Timer(Context_);
   for (;;) {
@@ -217,6 +244,7 @@
   State_.Metrics_.LimitedUpstreams_.set(State_.Upstreams_.limitedCount());
   State_.Metrics_.ColdUpstreams_.set(State_.Upstreams_.coldCount(Now));
   State_.Metrics_.DroppedLines_.set(State_.Log_.dropped());
+  logCallerLimits();
   State_.Log_.flush();
 }
 
--- a/src/libs/vm/vmdaemon.h
+++ b/src/libs/vm/vmdaemon.h
@@ -39,6 +39,17 @@
   /// Logs the VMs that are no longer live since the last call.
   void logSilentVms(const std::vector<std::string> &LiveVms);
   void closeIdleSessions();
+  /// Logs that callers were refused or closed since the last call.
+  void logCallerLimits();
+
+  /// Numbers of callers that were refused or closed so far.
+  struct CallerLimitCounts {
+    std::int64_t Evicted_ = 0;
+    std::int64_t Refused_ = 0;
+
+    friend bool operator==(const CallerLimitCounts &,
+                           const CallerLimitCounts &) = default;
+  };
 
   boost::asio::io_context &Context_;
   VmState &State_;
@@ -58,6 +69,8 @@
   boost::intrusive::list<CallerSession,
                          boost::intrusive::constant_time_size<false>>
       Sessions_;
+  CallerLimitCounts LoggedCounts_;
+  bool WereCallersLimited_ = false;
   base::TimePoint LastIsolationUpdate_{};
   base::TimePoint LastSlowTick_{};
   /// Live VMs at the last slow tick, sorted.
--- a/src/libs/vm/vmmetrics.cpp
+++ b/src/libs/vm/vmmetrics.cpp
@@ -76,6 +76,13 @@
       BlamedRequests_(Registry_.counter(
           "ebony_blamed_requests",
           "Requests refused because they end upstreams.", "", Gauge)),
+      CallerMemoryBytes_(Registry_.counter(
+          "ebony_caller_memory_bytes",
+          "Memory that callers' requests and responses take.", "", Gauge)),
+      EvictedConnections_(Registry_.counter(
+          "ebony_evicted_connections_total",
+          "Connections of callers that were refused or closed because the "
+          "memory for callers was used up.")),
       DroppedLines_(Registry_.counter("ebony_log_lines_dropped",
                                       "Log lines that found no reader.", "",
                                       Gauge)) {
--- a/src/libs/vm/vmmetrics.h
+++ b/src/libs/vm/vmmetrics.h
@@ -44,6 +44,8 @@
   telemetry::Counter &Relayed_;
   telemetry::Counter &UpstreamEnds_;
   telemetry::Counter &BlamedRequests_;
+  telemetry::Counter &CallerMemoryBytes_;
+  telemetry::Counter &EvictedConnections_;
   telemetry::Counter &DroppedLines_;
 };
 
--- a/src/libs/vm/vmsettings.cpp
+++ b/src/libs/vm/vmsettings.cpp
@@ -4,6 +4,10 @@
 #include "json/objectreader.h"
 
 #include <Poco/JSON/Array.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <algorithm>
 
 namespace ebony::vm {
 
@@ -17,6 +21,45 @@
 constexpr double MinCoreShare = 0.001;
 constexpr double MaxCoreShare = 1024;
 
+// Least memory and descriptors with which the process works: an upload of a
+// usual size, and connections to the store, upstreams and some callers.
+constexpr std::int64_t MinMemoryMb = 16;
+constexpr std::int64_t MaxMemoryMb = 1 << 20;
+constexpr std::int64_t MinFileDescriptors = 128;
+constexpr std::int64_t MaxFileDescriptors = 1 << 20;
+constexpr std::size_t BytesPerMb = 1UL << 20;
+
+std::int64_t physicalMemoryMb() {
+  const std::int64_t Bytes = sysconf(_SC_PHYS_PAGES) * sysconf(_SC_PAGESIZE);
+  return std::clamp(Bytes / static_cast<std::int64_t>(BytesPerMb), MinMemoryMb,
+                    MaxMemoryMb);
+}
+
+std::int64_t descriptorLimit() {
+  rlimit Limit{};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0 ||
+      Limit.rlim_cur >= static_cast<rlim_t>(MaxFileDescriptors))
+    return MaxFileDescriptors;
+  return std::max(static_cast<std::int64_t>(Limit.rlim_cur),
+                  MinFileDescriptors);
+}
+
+/// Reads the limits of the machine. Those that are not stated are the system's.
+void readMachine(const std::string &Path, const Poco::JSON::Object::Ptr &Object,
+                 base::Findings &Report, VmSettings &Result) {
+  Poco::JSON::Object::Ptr Machine = Object->getObject("machine");
+  if (!Machine)
+    Machine = new Poco::JSON::Object;
+  json::ObjectReader Reader(Path, "$.machine", Machine, Report);
+  Result.MemoryBytes_ =
+      static_cast<std::size_t>(Reader.numberOr("memoryMb", physicalMemoryMb(),
+                                               MinMemoryMb, MaxMemoryMb)) *
+      BytesPerMb;
+  Result.FileDescriptors_ = static_cast<std::size_t>(
+      Reader.numberOr("fileDescriptors", descriptorLimit(), MinFileDescriptors,
+                      MaxFileDescriptors));
+}
+
 tcp::endpoint readEndpoint(json::ObjectReader &Reader, const char *Member) {
   const std::string Text = Reader.text(Member);
   const std::size_t Colon = Text.rfind(':');
@@ -53,6 +96,7 @@
   Result.MaxPipelinedRequests_ = static_cast<std::size_t>(
       Reader.numberOr("maxPipelinedRequests", DefaultPipelinedRequests, 1,
                       MaxPipelinedRequests));
+  readMachine(Path, Object, Report, Result);
   const Poco::JSON::Object::Ptr Zones = Object->getObject("zones");
   if (!Zones)
     Reader.report("zones", "Add an object that gives each zone its region.");
--- a/src/libs/vm/vmsettings.h
+++ b/src/libs/vm/vmsettings.h
@@ -35,6 +35,10 @@
   /// Number of requests of one caller's connection that are processed at the
   /// same time; more stay unread.
   std::size_t MaxPipelinedRequests_ = 8;
+  /// Memory of the machine, which the process must not exceed.
+  std::size_t MemoryBytes_ = 256UL << 20;
+  /// File descriptors that the process may open.
+  std::size_t FileDescriptors_ = 4096;
   /// Limits of the fleet, in the platform's text format.
   std::vector<std::string> Bounds_;
 
--- a/src/libs/vm/vmstate.cpp
+++ b/src/libs/vm/vmstate.cpp
@@ -32,6 +32,10 @@
 // that the fleet is allowed.
 constexpr double QuotaOverrunFactor = 1.04;
 
+// Fraction of the memory that callers' requests and responses may take; what
+// the allocator adds and the state of the process need the rest.
+constexpr std::size_t CallerMemoryDivisor = 4;
+
 // Maximum number of addresses in a directory response.
 constexpr std::size_t MaxDirectoryAddresses = 8;
 
@@ -69,6 +73,8 @@
     : Context_(Context), Clock_(Clock), Settings_(std::move(Settings)),
       Bounds_(Bounds), Platform_(std::move(Platform)),
       Incarnation_(unixMilliseconds()), Log_(STDOUT_FILENO, Settings_.Name_),
+      CallerMemory_(
+          new CallerMemory(Settings_.MemoryBytes_ / CallerMemoryDivisor)),
       KeyTrust_(trustDuration(Bounds_)), PlanTrust_(trustDuration(Bounds_)),
       Upstreams_(Settings_.Zones_, StoreReturnGrace),
       Members_(Settings_.Name_, MemberTimeout),
--- a/src/libs/vm/vmstate.h
+++ b/src/libs/vm/vmstate.h
@@ -17,6 +17,7 @@
 #include "traffic/storenews.h"
 #include "traffic/trafficsplitter.h"
 #include "traffic/upstreamreachability.h"
+#include "vm/callermemory.h"
 #include "vm/fleetbounds.h"
 #include "vm/platformbinding.h"
 #include "vm/tablenewsrouter.h"
@@ -95,6 +96,7 @@
   telemetry::EventLog Log_;
   VmMetrics Metrics_;
   asynckit::DeadlineList Deadlines_;
+  CallerMemoryPtr CallerMemory_;
   /// Configuration in force; null until one is known.
   traffic::TrafficRulesPtr Rules_;
   /// Whether the configuration, with its keys, is confirmed to be the newest.
