Read all of a body that has arrived at once

What callers saw: beside 200 clients with chunks of one byte an ordinary request got its connection reset in a first form of the limits (row vm-body-tiny-chunks): the VM was busy with the chunks and all connections were receiving bodies.

Cause: readPiece() returned after each chunk, and each call cleared 8 KiB.

Why it works: a call now parses until its 8 KiB are full or the input is empty.

--- a/src/libs/vm/requestreader.cpp
+++ b/src/libs/vm/requestreader.cpp
@@ -62,7 +62,7 @@
   Target.data = &Piece[Before];
   Target.size = PieceBytes;
   bool IsRead = true;
-  while (!isComplete() && Target.size == PieceBytes) {
+  while (!isComplete() && Target.size > 0) {
     const std::string_view Bytes = Input_.bytes();
     error_code Error = http::error::need_more;
     std::size_t Parsed = 0;
@@ -76,8 +76,11 @@
       IsRead = false;
       break;
     }
+    // All that has arrived is read at once: a body may come in tiny chunks.
     if (Parsed > 0)
       continue;
+    if (Target.size < PieceBytes)
+      break;
     if (Input_.hasEnded() || IsStopped_) {
       IsRead = false;
       break;
