Let callers read why their request was refused

What callers saw: who announced too large a body and went on sending got a reset connection in place of the 413, and could not know that sending it again is useless.

Cause: closing a connection with unread bytes resets it.

Why it works: after such a response the VM ends its side and discards what still comes, for a second and 1 MiB at most, on 16 connections at most.

--- a/src/libs/vm/callersession.cpp
+++ b/src/libs/vm/callersession.cpp
@@ -28,6 +28,12 @@
 // A caller that sends this much of a body is not taken for stopped.
 constexpr std::size_t ProgressBytes = 16UL * 1024;
 
+// What is read at most of a refused request, and for how long, so that the
+// caller reads the response; and the number of connections that do so.
+constexpr std::size_t MaxLingerBytes = 1024UL * 1024;
+constexpr base::Duration MaxLinger = std::chrono::seconds(1);
+constexpr std::size_t MaxLingeringSessions = 16;
+
 constexpr unsigned Unavailable = 503;
 
 // Time after which a connection with unacknowledged data is closed.
@@ -354,9 +360,29 @@
     else
       co_await Self->WriterWakeup_.wait();
   }
+  if (Self->MayLinger_ && !Self->IsOver_)
+    co_await Self->linger();
   Self->close();
 }
 
+// Closing a connection with unread bytes resets it, and the response is lost.
+awaitable<void> CallerSession::linger() {
+  if (State_.Lingering_->value() >= MaxLingeringSessions)
+    co_return;
+  const base::HolderCountPtr Held = State_.Lingering_;
+  error_code Ignored; // The connection is discarded either way.
+  Socket_.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
+  Timer_.arm(State_.now() + MaxLinger, [this] { Input_->stop(); });
+  std::size_t Discarded = 0;
+  while (Discarded < MaxLingerBytes) {
+    Discarded += Input_->bytes().size();
+    Input_->consume(Input_->bytes().size());
+    if (Input_->hasEnded() || IsOver_)
+      break;
+    co_await Input_->awaitChange();
+  }
+}
+
 // Writes the next response. Returns false if the connection is to be closed.
 awaitable<bool> CallerSession::writeOne() {
   const ExchangePtr Exchange = Queue_.front();
--- a/src/libs/vm/callersession.h
+++ b/src/libs/vm/callersession.h
@@ -54,6 +54,10 @@
   static asynckit::awaitable<void>
   writeAll(std::shared_ptr<CallerSession> Self);
   asynckit::awaitable<bool> writeOne();
+  /// Discards what the caller still sends, so that the connection is not reset
+  /// before it has read the response.
+  asynckit::awaitable<void> linger();
+
   /// Returns the memory that the connection takes.
   std::size_t heldBytes() const;
   /// Accounts for the memory. Returns false if there is no room.
--- a/src/libs/vm/vmstate.h
+++ b/src/libs/vm/vmstate.h
@@ -3,6 +3,7 @@
 
 #include "asynckit/deadline.h"
 #include "base/clock.h"
+#include "base/holdercount.h"
 #include "telemetry/eventlog.h"
 #include "traffic/crashledger.h"
 #include "traffic/customerratelimiter.h"
@@ -97,6 +98,8 @@
   VmMetrics Metrics_;
   asynckit::DeadlineList Deadlines_;
   CallerMemoryPtr CallerMemory_;
+  /// Connections of callers that are read only so that they are not reset.
+  base::HolderCountPtr Lingering_{new base::HolderCount};
   /// Configuration in force; null until one is known.
   traffic::TrafficRulesPtr Rules_;
   /// Whether the configuration, with its keys, is confirmed to be the newest.
--- a/tests/libs/vm/callerlimitstest.cpp
+++ b/tests/libs/vm/callerlimitstest.cpp
@@ -79,6 +79,21 @@
   BOOST_TEST(Second.result_int() == 200U);
 }
 
+// Closing the connection at once would reset it while the caller sends.
+BOOST_AUTO_TEST_CASE(callerThatGoesOnSendingReadsItsRefusal) {
+  TestResponse Response;
+  run([](Fixture &Test, TestResponse &Result) -> asynckit::awaitable<void> {
+    co_await Test.connect();
+    co_await Test.send(head("/write/1", length(99'999'999'999)));
+    for (int I = 0; I < 8; ++I) {
+      co_await Test.send(std::string(65'536, 'x'));
+      co_await Test.pause(5ms);
+    }
+    Result = co_await Test.receive();
+  }(*this, Response));
+  BOOST_TEST(Response.result_int() == 413U);
+}
+
 BOOST_AUTO_TEST_CASE(largeRequestIsRefusedWhileOthersTakeTheMemory) {
   MemoryShare Others(State_->CallerMemory_, [] {});
   Others.resizeUnchecked(State_->CallerMemory_->capacity() / 4 * 3,
