End a body that has stopped at the timeout of its route

What callers saw: a client named a deadline of 1e20 or 9e15 ms and its unfinished request was held for as long; the sum of the time and the deadline could overflow.

Cause: only the deadline of the caller ended the reading of a body, and it had no bound.

Why it works: a request that arrives after its route's timeout can't be served, so it gets 408 then, which is true: nothing was sent to an upstream.

--- a/src/libs/vm/callersession.cpp
+++ b/src/libs/vm/callersession.cpp
@@ -25,6 +25,9 @@
 constexpr base::Duration ShortageRetryAfter = std::chrono::milliseconds(500);
 constexpr unsigned ShortageRetrySpreadMs = 500;
 
+// Longest deadline that a caller can name.
+constexpr std::int64_t MaxDeadlineMilliseconds = 24L * 3600 * 1000;
+
 // A caller that sends this much of a body is not taken for stopped.
 constexpr std::size_t ProgressBytes = 16UL * 1024;
 
@@ -34,6 +37,7 @@
 constexpr base::Duration MaxLinger = std::chrono::seconds(1);
 constexpr std::size_t MaxLingeringSessions = 16;
 
+constexpr unsigned RequestTimeout = 408;
 constexpr unsigned Unavailable = 503;
 
 // Time after which a connection with unacknowledged data is closed.
@@ -201,7 +205,7 @@
   }
   std::optional<RequestRefusal> Refusal = refusalByHead(Request);
   if (!Refusal && !Reader_.isComplete()) {
-    Timer_.arm(Arrived + Request.Deadline_, [this] { Input_->stop(); });
+    Timer_.arm(Arrived + timeToSend(Request), [this] { Reader_.stop(); });
     const bool MaySend = co_await confirmExpectation(Request);
     if (MaySend)
       Refusal = co_await readBody(Request);
@@ -270,6 +274,15 @@
   return Refusal;
 }
 
+// Returns how long after its arrival a request may still be received: later it
+// could not be served.
+base::Duration CallerSession::timeToSend(const CallerRequest &Request) const {
+  const traffic::RouteSettings *Route =
+      State_.Rules_ ? findRoute(*State_.Rules_, Request) : nullptr;
+  return Route ? std::min(Request.Deadline_, Route->Timeout_)
+               : Request.Deadline_;
+}
+
 CallerRequest CallerSession::takeHead() {
   RequestReader::Parser &Parser = Reader_.parser();
   CallerRequest Request;
@@ -282,7 +295,8 @@
   const auto Milliseconds = parseNonNegative(
       valueOf(Request.Fields_, State_.Platform_.Headers_.Deadline_));
   if (Milliseconds)
-    Request.Deadline_ = std::chrono::milliseconds(*Milliseconds);
+    Request.Deadline_ = std::chrono::milliseconds(
+        std::min(*Milliseconds, MaxDeadlineMilliseconds));
   return Request;
 }
 
@@ -324,6 +338,8 @@
   IsReadingBody_ = false;
   if (!HasRoom || IsEvicted_)
     co_return shortageRefusal(Request.Id_);
+  if (Timer_.hasExpired())
+    co_return RequestRefusal{RequestTimeout, "body-too-slow", {}};
   if (!IsRead)
     co_return RequestRefusal{0, "", {}};
   Request.HasMoreBody_ = !Reader_.isComplete();
--- a/src/libs/vm/callersession.h
+++ b/src/libs/vm/callersession.h
@@ -72,6 +72,7 @@
   void recordBodyProgress(std::size_t Received);
 
   CallerRequest takeHead();
+  base::Duration timeToSend(const CallerRequest &Request) const;
   static RequestRefusal shortageRefusal(const std::string &RequestId);
   /// Returns the next part of a body that is streamed; see BodySource.
   asynckit::awaitable<std::optional<std::string>> nextPiece();
--- a/tests/libs/vm/callerlimitstest.cpp
+++ b/tests/libs/vm/callerlimitstest.cpp
@@ -94,6 +94,20 @@
   BOOST_TEST(Response.result_int() == 413U);
 }
 
+BOOST_AUTO_TEST_CASE(bodyThatStopsIsRefusedAtTheTimeoutOfItsRoute) {
+  TestResponse Response;
+  run([](Fixture &Test, TestResponse &Result) -> asynckit::awaitable<void> {
+    co_await Test.connect();
+    co_await Test.send(head("/write/1", length(LargeBody)) + "part");
+    co_await Test.pause(20ms);
+    Test.Clock_.advance(5'100ms);
+    Test.State_->Deadlines_.tick(Test.State_->now());
+    Result = co_await Test.receive();
+  }(*this, Response));
+  BOOST_TEST(Response.result_int() == 408U);
+  BOOST_TEST(receivedRequests() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(largeRequestIsRefusedWhileOthersTakeTheMemory) {
   MemoryShare Others(State_->CallerMemory_, [] {});
   Others.resizeUnchecked(State_->CallerMemory_->capacity() / 4 * 3,
@@ -114,4 +128,17 @@
   BOOST_TEST(receivedRequests() == 1U);
 }
 
+// The sum of the time and the deadline must not overflow.
+BOOST_AUTO_TEST_CASE(deadlineWithoutBoundIsLimited) {
+  TestResponse Response;
+  run([](Fixture &Test, TestResponse &Result) -> asynckit::awaitable<void> {
+    co_await Test.connect();
+    std::string Request = head("/read/1", length(2)) + "ab";
+    Request.replace(Request.find("60000"), 5, "9000000000000000");
+    co_await Test.send(Request);
+    Result = co_await Test.receive();
+  }(*this, Response));
+  BOOST_TEST(Response.result_int() == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
