Divide the file descriptors of ebony-vmd among its ports

Cause: no port had a limit, so that nothing was left for upstreams and the store. A connection could have eight requests in process with an an upstream connection each.

Why it works: callers and upstreams get three eighths of the descriptors each, the directory a sixteenth, readiness and metrics 16 connections each. A further connection takes the place of the least active one; if all are busy it is closed. When requests in process take half of the connections to upstreams, a caller's connection has one request in process; when they take all, requests are refused at once (503).

Counters ebony_closed_connections_total and ebony_refused_connections_total, in the log line caller-limits.

--- a/src/libs/vm/callersession.cpp
+++ b/src/libs/vm/callersession.cpp
@@ -66,7 +66,8 @@
       Writer_(Socket_, State.Platform_.Headers_, Share_, State.Clock_),
       Share_(State.CallerMemory_, [this] { evict(); }),
       Timer_(State.Deadlines_), Queue_(State.Settings_.MaxPipelinedRequests_),
-      ReaderWakeup_(State.Context_), WriterWakeup_(State.Context_) {
+      ReaderWakeup_(State.Context_), WriterWakeup_(State.Context_),
+      IdleSince_(State.now()) {
   error_code Ignored; // The options only reduce latency.
   Socket_.set_option(asio::ip::tcp::no_delay(true), Ignored);
   setsockopt(Socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
@@ -79,6 +80,16 @@
   return Queue_.empty() && !IsReceiving_ && Input_->bytes().empty();
 }
 
+base::ConnectionActivity CallerSession::activity() const {
+  if (!WasUsed_ && Queue_.empty())
+    return {base::ConnectionUse::Unused, IdleSince_};
+  if (isIdle())
+    return {base::ConnectionUse::Idle, IdleSince_};
+  if (const auto Since = Share_.waitingSince())
+    return {base::ConnectionUse::Waiting, *Since};
+  return {base::ConnectionUse::Busy, IdleSince_};
+}
+
 std::size_t CallerSession::heldBytes() const {
   std::size_t Bytes = Input_->heldBytes() + IncomingBytes_;
   Queue_.forEach([&Bytes](const RequestExchange &Exchange) {
@@ -105,6 +116,10 @@
   if (IsOver_)
     return;
   State_.Metrics_.EvictedConnections_.add();
+  endForOthers();
+}
+
+void CallerSession::endForOthers() {
   IsEvicted_ = true;
   // The request was not processed, so its caller can be told.
   if (IsReadingBody_ && Queue_.empty())
@@ -160,11 +175,18 @@
     close();
 }
 
+// A connection may have several requests in process only while the connections
+// to upstreams suffice for those of all callers.
+bool CallerSession::mayReadNext() const {
+  return Queue_.hasRoom() &&
+         (Queue_.empty() || !State_.areUpstreamConnectionsScarce());
+}
+
 awaitable<void> CallerSession::readAll() {
   armIdleTimer();
   bool MayFollow = true;
   while (MayFollow && !IsOver_) {
-    while (!Queue_.hasRoom() && !IsOver_)
+    while (!mayReadNext() && !IsOver_)
       co_await ReaderWakeup_.wait();
     // While the VM stops, the last response closes the connection.
     if (IsOver_ || IsClosing_ || (State_.IsStopping_ && !Queue_.empty()))
@@ -196,6 +218,7 @@
     refuse(CallerRequest(), Arrived, {statusFor(Result), "bad-request", {}});
     co_return false;
   }
+  WasUsed_ = true;
   CallerRequest Request = takeHead();
   IncomingBytes_ = memoryOf(Request);
   if (!updateMemory()) {
@@ -414,6 +437,7 @@
   if (!IsSent || !KeepsOpen || IsOver_)
     co_return false;
   const ExchangePtr Next = Queue_.pop();
+  IdleSince_ = State_.now();
   updateMemory();
   if (Next)
     Next->start(Queue_.size() == 1);
--- a/src/libs/vm/callersession.h
+++ b/src/libs/vm/callersession.h
@@ -1,6 +1,7 @@
 #ifndef EBONY_VM_CALLERSESSION_H
 #define EBONY_VM_CALLERSESSION_H
 
+#include "base/connectionactivity.h"
 #include "vm/callermemory.h"
 #include "vm/exchangequeue.h"
 #include "vm/requestexchange.h"
@@ -33,11 +34,17 @@
 
   /// Returns whether no request has begun to arrive or waits for its response.
   bool isIdle() const;
+  base::ConnectionActivity activity() const;
   void close();
+  /// Ends the request that is being received, or the connection, in favour of
+  /// other callers.
+  void endForOthers();
 
 private:
   using ExchangePtr = std::shared_ptr<RequestExchange>;
 
+  /// Returns whether another request may be read.
+  bool mayReadNext() const;
   asynckit::awaitable<void> readAll();
   /// Reads one request. Returns false if no other may follow it.
   asynckit::awaitable<bool> readOne();
@@ -98,6 +105,9 @@
   std::size_t IncomingBytes_ = 0;
   /// Bytes of the body since its progress was recorded last.
   std::size_t BytesSinceProgress_ = 0;
+  base::TimePoint IdleSince_;
+  /// Whether a whole request has arrived on the connection.
+  bool WasUsed_ = false;
   /// Whether a request is being received.
   bool IsReceiving_ = false;
   /// Whether the body of a request is being received that is not processed yet.
--- a/src/libs/vm/requestexchange.cpp
+++ b/src/libs/vm/requestexchange.cpp
@@ -70,7 +70,7 @@
     : State_(State), AsyncDispatcher_(Dispatcher), Admission_(Admission),
       Origin_(Origin), Request_(std::move(Request)),
       MoreBody_(std::move(MoreBody)), OnResponse_(std::move(OnResponse)),
-      Tally_(State.Budget_, State.Dispatcher_),
+      Counted_(State.Exchanges_), Tally_(State.Budget_, State.Dispatcher_),
       ResponseReady_(State.Context_) {
   Outcome_.Started_ = Arrived;
 }
@@ -165,6 +165,10 @@
   const traffic::CustomerSettings *Customer = Decision.Customer_;
   if (Customer)
     Request_.Customer_ = Customer->Name_.text();
+  if (!State_.makeRoomForUpstreamConnection()) {
+    answer(503, "connections-short", NoConfigurationRetryAfter);
+    co_return;
+  }
   if (const auto RefusedFor = refusedForCrashes()) {
     answer(503, "ends-upstreams", *RefusedFor);
     co_return;
--- a/src/libs/vm/requestexchange.h
+++ b/src/libs/vm/requestexchange.h
@@ -98,6 +98,7 @@
   CallerRequest Request_;
   BodySource MoreBody_;
   std::function<void()> OnResponse_;
+  const base::HolderCountPtr Counted_;
   RequestOutcome Outcome_;
   std::optional<traffic::RequestFingerprint> Fingerprint_;
   traffic::AttemptTally Tally_;
--- a/src/libs/vm/simplehttpserver.cpp
+++ b/src/libs/vm/simplehttpserver.cpp
@@ -28,10 +28,16 @@
 
 } // namespace
 
+void SimpleHttpServer::Connection::close() {
+  error_code Ignored; // The connection is discarded either way.
+  Socket_.close(Ignored);
+}
+
 SimpleHttpServer::SimpleHttpServer(VmState &State, const tcp::endpoint &Address,
+                                   std::size_t MaxConnections,
                                    Handler RequestHandler)
     : State_(State), Acceptor_(State.Context_, Address),
-      Handler_(std::move(RequestHandler)) {}
+      MaxConnections_(MaxConnections), Handler_(std::move(RequestHandler)) {}
 
 void SimpleHttpServer::start() {
   asio::co_spawn(State_.Context_, accept(), asio::detached);
@@ -46,23 +52,28 @@
       co_await Pause.async_wait(into(Error));
       continue;
     }
-    asio::co_spawn(State_.Context_, serve(std::move(Socket)), asio::detached);
+    if (Connections_.size() >= MaxConnections_) {
+      // It is unlinked here, since its coroutine ends later.
+      Connection *Least = base::findLeastActive(Connections_);
+      Least->unlink();
+      Least->close();
+      State_.Metrics_.ClosedConnections_.add();
+    }
+    auto Client = std::make_shared<Connection>(std::move(Socket), State_.now());
+    Connections_.push_back(*Client);
+    asio::co_spawn(State_.Context_, serve(std::move(Client)), asio::detached);
   }
 }
 
-awaitable<void> SimpleHttpServer::serve(tcp::socket Socket) {
+awaitable<void> SimpleHttpServer::serve(std::shared_ptr<Connection> Client) {
   boost::beast::flat_buffer Buffer;
   asynckit::Deadline Timer(State_.Deadlines_);
-  const auto Close = [&Socket] {
-    error_code Ignored; // The connection is discarded either way.
-    Socket.close(Ignored);
-  };
   error_code Error;
   for (;;) {
-    Timer.arm(State_.now() + IdleTimeout, Close);
+    Timer.arm(State_.now() + IdleTimeout, [&Client] { Client->close(); });
     http::request_parser<http::string_body> Parser;
     Parser.body_limit(MaxBodyBytes);
-    co_await http::async_read(Socket, Buffer, Parser, into(Error));
+    co_await http::async_read(Client->Socket_, Buffer, Parser, into(Error));
     if (Error)
       break;
     const auto [Path, Parameters] =
@@ -74,12 +85,13 @@
     Response.body() = Reply.Body_;
     Response.keep_alive(Parser.get().keep_alive());
     Response.prepare_payload();
-    co_await http::async_write(Socket, Response, into(Error));
+    Client->Activity_ = {base::ConnectionUse::Idle, State_.now()};
+    co_await http::async_write(Client->Socket_, Response, into(Error));
     if (Error || !Parser.get().keep_alive())
       break;
   }
   Timer.disarm();
-  Close();
+  Client->close();
 }
 
 std::pair<std::string, QueryParameters> parseTarget(const std::string &Target) {
--- a/src/libs/vm/simplehttpserver.h
+++ b/src/libs/vm/simplehttpserver.h
@@ -2,12 +2,15 @@
 #define EBONY_VM_SIMPLEHTTPSERVER_H
 
 #include "asynckit/awaiting.h"
+#include "base/connectionactivity.h"
 #include "vm/vmstate.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/intrusive/list.hpp>
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace ebony::vm {
@@ -32,19 +35,39 @@
   using Handler = std::function<SimpleHttpResponse(
       const std::string &Path, const QueryParameters &Parameters)>;
 
+  /// Serves at most \p MaxConnections connections at once. A further one takes
+  /// the place of the least active.
   SimpleHttpServer(VmState &State,
                    const boost::asio::ip::tcp::endpoint &Address,
-                   Handler RequestHandler);
+                   std::size_t MaxConnections, Handler RequestHandler);
 
   void start();
 
 private:
+  /// A connection of which requests are read.
+  struct Connection
+      : public boost::intrusive::list_base_hook<
+            boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
+    Connection(boost::asio::ip::tcp::socket Socket, base::TimePoint Now)
+        : Socket_(std::move(Socket)), Activity_{base::ConnectionUse::Unused,
+                                                Now} {}
+    const base::ConnectionActivity &activity() const { return Activity_; }
+    void close();
+
+    boost::asio::ip::tcp::socket Socket_;
+    base::ConnectionActivity Activity_;
+  };
+
   asynckit::awaitable<void> accept();
-  asynckit::awaitable<void> serve(boost::asio::ip::tcp::socket Socket);
+  asynckit::awaitable<void> serve(std::shared_ptr<Connection> Client);
 
   VmState &State_;
   boost::asio::ip::tcp::acceptor Acceptor_;
+  std::size_t MaxConnections_;
   Handler Handler_;
+  boost::intrusive::list<Connection,
+                         boost::intrusive::constant_time_size<false>>
+      Connections_;
 };
 
 /// Splits a request target into its path and the parameters of its query
--- a/src/libs/vm/upstreamconnection.h
+++ b/src/libs/vm/upstreamconnection.h
@@ -1,6 +1,7 @@
 #ifndef EBONY_VM_UPSTREAMCONNECTION_H
 #define EBONY_VM_UPSTREAMCONNECTION_H
 
+#include "base/holdercount.h"
 #include "base/time.h"
 #include "httpwire/responseparser.h"
 
@@ -18,8 +19,11 @@
 /// One connection to an upstream, used by one request at a time.
 class UpstreamConnection {
 public:
-  explicit UpstreamConnection(boost::asio::io_context &Context)
-      : Socket_(Context), Buffer_(httpwire::MaxUnparsedBytes) {}
+  /// Is counted by \p Open.
+  UpstreamConnection(boost::asio::io_context &Context,
+                     base::HolderCountPtr Open)
+      : Socket_(Context), Buffer_(httpwire::MaxUnparsedBytes),
+        Open_(std::move(Open)) {}
 
   boost::asio::ip::tcp::socket &socket() { return Socket_; }
   boost::beast::flat_buffer &buffer() { return Buffer_; }
@@ -68,6 +72,7 @@
 
   boost::asio::ip::tcp::socket Socket_;
   boost::beast::flat_buffer Buffer_;
+  const base::HolderCountPtr Open_;
   std::array<std::uint32_t, RecentIdCount> RecentIds_{};
   std::size_t RequestCount_ = 0;
 };
--- a/src/libs/vm/upstreamconnectionpool.cpp
+++ b/src/libs/vm/upstreamconnectionpool.cpp
@@ -82,6 +82,13 @@
   Idle_.erase(Entry);
 }
 
+void UpstreamConnectionPool::closeIdle() {
+  for (const auto &[Upstream, Connections] : Idle_)
+    for (const UpstreamConnectionPtr &Connection : Connections)
+      Connection->close();
+  Idle_.clear();
+}
+
 std::size_t UpstreamConnectionPool::idleCount() const {
   std::size_t Count = 0;
   for (const auto &[Upstream, Connections] : Idle_)
--- a/src/libs/vm/upstreamconnectionpool.h
+++ b/src/libs/vm/upstreamconnectionpool.h
@@ -28,7 +28,7 @@
 
   /// Returns a new, unconnected connection.
   UpstreamConnectionPtr create() {
-    return std::make_shared<UpstreamConnection>(Context_);
+    return std::make_shared<UpstreamConnection>(Context_, Open_);
   }
 
   /// Adds a connection without unread data to the pool.
@@ -41,13 +41,19 @@
   /// Closes the idle connections of an upstream that was removed.
   void drop(const base::UpstreamName &Upstream);
 
+  /// Closes all idle connections.
+  void closeIdle();
+
   std::size_t idleCount() const;
+  /// Returns the number of connections in use and idle ones.
+  std::size_t openCount() const { return Open_->value(); }
 
 private:
   void closeWhenReadable(const base::UpstreamName &Upstream,
                          const UpstreamConnectionPtr &Connection);
 
   boost::asio::io_context &Context_;
+  const base::HolderCountPtr Open_{new base::HolderCount};
   std::map<base::UpstreamName, std::vector<UpstreamConnectionPtr>> Idle_;
 };
 
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -54,6 +54,9 @@
 // use a cached directory response that names this VM for this long.
 constexpr base::Duration LeavingDuration = std::chrono::milliseconds(2500);
 
+// Connections at the ports that only the platform uses.
+constexpr std::size_t MaxPlatformConnections = 16;
+
 void listen(tcp::acceptor &Acceptor, const tcp::endpoint &Endpoint) {
   Acceptor.open(Endpoint.protocol());
   Acceptor.set_option(tcp::acceptor::reuse_address(true));
@@ -94,16 +97,17 @@
                                          asio::detached);
                         }}),
       ReadinessServer_(
-          State, State.Settings_.Readiness_,
+          State, State.Settings_.Readiness_, MaxPlatformConnections,
           [this](const std::string &Path, const QueryParameters &) {
             return answerReadiness(Path);
           }),
       DirectoryServer_(
           State, State.Settings_.Directory_,
+          State.Settings_.maxDirectoryConnections(),
           [this](const std::string &Path, const QueryParameters &Parameters) {
             return answerDirectory(Path, Parameters);
           }),
-      MetricsServer_(State, State.Settings_.Metrics_,
+      MetricsServer_(State, State.Settings_.Metrics_, MaxPlatformConnections,
                      [this](const std::string &Path, const QueryParameters &) {
                        return answerMetrics(Path);
                      }),
@@ -172,6 +176,10 @@
       State_.log(EventLine("peer-connection-rejected"));
       continue;
     }
+    if (!makeRoomForSession()) {
+      State_.Metrics_.RefusedConnections_.add();
+      continue;
+    }
     const auto Session = std::make_shared<CallerSession>(
         State_, AsyncDispatcher_, Admission_, Origin, std::move(Socket));
     Sessions_.push_back(*Session);
@@ -179,10 +187,25 @@
   }
 }
 
+bool VmDaemon::makeRoomForSession() {
+  if (Sessions_.size() < State_.Settings_.maxCallerConnections())
+    return true;
+  CallerSession *Least = base::findLeastActive(Sessions_);
+  if (!Least)
+    return false;
+  State_.Metrics_.ClosedConnections_.add();
+  // It is unlinked here, since its coroutines end later.
+  Least->unlink();
+  Least->endForOthers();
+  return true;
+}
+
 // One line for each interval in which callers were refused or closed.
 void VmDaemon::logCallerLimits() {
   const CallerMemory &Memory = *State_.CallerMemory_;
-  const CallerLimitCounts Counts{Memory.evictions(), Memory.refusals()};
+  const CallerLimitCounts Counts{Memory.evictions(), Memory.refusals(),
+                                 State_.Metrics_.ClosedConnections_.value(),
+                                 State_.Metrics_.RefusedConnections_.value()};
   State_.Metrics_.CallerMemoryBytes_.set(
       static_cast<std::int64_t>(Memory.used()));
   if (Counts != LoggedCounts_)
@@ -193,7 +216,10 @@
                  static_cast<std::int64_t>(Memory.capacity() / 1024))
             .add("connections", static_cast<std::int64_t>(Sessions_.size()))
             .add("evicted", Counts.Evicted_ - LoggedCounts_.Evicted_)
-            .add("no_room", Counts.Refused_ - LoggedCounts_.Refused_));
+            .add("no_room", Counts.Refused_ - LoggedCounts_.Refused_)
+            .add("closed", Counts.Closed_ - LoggedCounts_.Closed_)
+            .add("connections_refused", Counts.RefusedConnections_ -
+                                            LoggedCounts_.RefusedConnections_));
   else if (WereCallersLimited_)
     // Returns what the crowd has freed to the system.
     malloc_trim(0);
--- a/src/libs/vm/vmdaemon.h
+++ b/src/libs/vm/vmdaemon.h
@@ -39,6 +39,9 @@
   /// Logs the VMs that are no longer live since the last call.
   void logSilentVms(const std::vector<std::string> &LiveVms);
   void closeIdleSessions();
+  /// Closes a connection if there are too many for another one. Returns false
+  /// if all are busy.
+  bool makeRoomForSession();
   /// Logs that callers were refused or closed since the last call.
   void logCallerLimits();
 
@@ -46,6 +49,8 @@
   struct CallerLimitCounts {
     std::int64_t Evicted_ = 0;
     std::int64_t Refused_ = 0;
+    std::int64_t Closed_ = 0;
+    std::int64_t RefusedConnections_ = 0;
 
     friend bool operator==(const CallerLimitCounts &,
                            const CallerLimitCounts &) = default;
--- a/src/libs/vm/vmmetrics.cpp
+++ b/src/libs/vm/vmmetrics.cpp
@@ -83,6 +83,13 @@
           "ebony_evicted_connections_total",
           "Connections of callers that were refused or closed because the "
           "memory for callers was used up.")),
+      ClosedConnections_(Registry_.counter(
+          "ebony_closed_connections_total",
+          "Unused or idle connections that were closed to make room for new "
+          "ones.")),
+      RefusedConnections_(Registry_.counter(
+          "ebony_refused_connections_total",
+          "New connections that were closed because all others were busy.")),
       DroppedLines_(Registry_.counter("ebony_log_lines_dropped",
                                       "Log lines that found no reader.", "",
                                       Gauge)) {
--- a/src/libs/vm/vmmetrics.h
+++ b/src/libs/vm/vmmetrics.h
@@ -46,6 +46,8 @@
   telemetry::Counter &BlamedRequests_;
   telemetry::Counter &CallerMemoryBytes_;
   telemetry::Counter &EvictedConnections_;
+  telemetry::Counter &ClosedConnections_;
+  telemetry::Counter &RefusedConnections_;
   telemetry::Counter &DroppedLines_;
 };
 
--- a/src/libs/vm/vmsettings.h
+++ b/src/libs/vm/vmsettings.h
@@ -39,6 +39,14 @@
   std::size_t MemoryBytes_ = 256UL << 20;
   /// File descriptors that the process may open.
   std::size_t FileDescriptors_ = 4096;
+  /// Parts of the file descriptors. The rest is for the store, other VMs,
+  /// readiness, metrics and files.
+  std::size_t maxCallerConnections() const { return FileDescriptors_ * 3 / 8; }
+  std::size_t maxUpstreamConnections() const {
+    return FileDescriptors_ * 3 / 8;
+  }
+  std::size_t maxDirectoryConnections() const { return FileDescriptors_ / 16; }
+
   /// Limits of the fleet, in the platform's text format.
   std::vector<std::string> Bounds_;
 
--- a/src/libs/vm/vmstate.cpp
+++ b/src/libs/vm/vmstate.cpp
@@ -94,6 +94,19 @@
       Relays_(Settings_.Region_, base::RandomEngine(Seed + 2)),
       PeerConnections_(Context) {}
 
+bool VmState::areUpstreamConnectionsScarce() const {
+  return Exchanges_->value() >= Settings_.maxUpstreamConnections() / 2;
+}
+
+bool VmState::makeRoomForUpstreamConnection() {
+  const std::size_t Max = Settings_.maxUpstreamConnections();
+  if (Connections_.openCount() + PeerConnections_.openCount() >= Max) {
+    Connections_.closeIdle();
+    PeerConnections_.closeIdle();
+  }
+  return Exchanges_->value() <= Max;
+}
+
 void VmState::logNamedLimit(const traffic::UpstreamState &Upstream,
                             std::string_view SourceKey,
                             const std::string &Source) {
--- a/src/libs/vm/vmstate.h
+++ b/src/libs/vm/vmstate.h
@@ -85,6 +85,14 @@
     return traffic::readsForRegion(ownIdentity(), Members_, now());
   }
 
+  /// Returns whether so many requests are in process that the connections to
+  /// upstreams may run out.
+  bool areUpstreamConnectionsScarce() const;
+
+  /// Returns whether there is room for the upstream connection of one more
+  /// request. Closes idle connections if that makes room.
+  bool makeRoomForUpstreamConnection();
+
   /// Returns whether callers may be sent to this VM.
   bool isReady() const { return Rules_ && KnowsUpstreams_ && !IsStopping_; }
 
@@ -100,6 +108,9 @@
   CallerMemoryPtr CallerMemory_;
   /// Connections of callers that are read only so that they are not reset.
   base::HolderCountPtr Lingering_{new base::HolderCount};
+  /// Requests of callers in process, of which each takes at most one connection
+  /// to an upstream.
+  base::HolderCountPtr Exchanges_{new base::HolderCount};
   /// Configuration in force; null until one is known.
   traffic::TrafficRulesPtr Rules_;
   /// Whether the configuration, with its keys, is confirmed to be the newest.
