Limit connections of callers only when the descriptors run short

Cause: fixed parts of the descriptors for each port. Ordinary callers keep many idle connections: the log line caller-limits showed 1,537 of 1,537 in use and some 60 closed in each 250 ms, with 0.3 MB of 65 MB of memory in use.

Why it works: callers, the directory's clients and upstreams share all descriptors but a sixteenth and 48. Each kind has a part that the others can't take; only when all are in use the kind that takes more than its part gives one up, the least active one. The linter's findings are mended, too.

--- a/src/libs/base/connectionactivity.h
+++ b/src/libs/base/connectionactivity.h
@@ -4,7 +4,7 @@
 #include "base/time.h"
 
 #include <algorithm>
-#include <compare>
+#include <tuple>
 
 namespace ebony::base {
 
@@ -25,8 +25,12 @@
   ConnectionUse Use_ = ConnectionUse::Unused;
   TimePoint Since_{};
 
-  friend auto operator<=>(const ConnectionActivity &,
-                          const ConnectionActivity &) = default;
+  friend bool operator==(const ConnectionActivity &,
+                         const ConnectionActivity &) = default;
+  friend bool operator<(const ConnectionActivity &A,
+                        const ConnectionActivity &B) {
+    return std::tie(A.Use_, A.Since_) < std::tie(B.Use_, B.Since_);
+  }
 };
 
 /// Returns the connection that is closed to make room for a new one, or null
--- a/src/libs/vm/callersession.cpp
+++ b/src/libs/vm/callersession.cpp
@@ -64,6 +64,7 @@
           std::make_shared<CallerInput>(State.Context_, Socket_, State.Clock_)),
       Reader_(*Input_),
       Writer_(Socket_, State.Platform_.Headers_, Share_, State.Clock_),
+      Counted_(State.CallerConnections_),
       Share_(State.CallerMemory_, [this] { evict(); }),
       Timer_(State.Deadlines_), Queue_(State.Settings_.MaxPipelinedRequests_),
       ReaderWakeup_(State.Context_), WriterWakeup_(State.Context_),
@@ -288,8 +289,7 @@
 CallerSession::refusalByHead(const CallerRequest &Request) {
   if (Reader_.isComplete())
     return std::nullopt;
-  const std::optional<RequestRefusal> Refusal =
-      checkHead(State_, Request).Refusal_;
+  std::optional<RequestRefusal> Refusal = checkHead(State_, Request).Refusal_;
   if (!Refusal)
     return std::nullopt;
   // If the whole body has arrived, the connection can be kept.
--- a/src/libs/vm/callersession.h
+++ b/src/libs/vm/callersession.h
@@ -95,6 +95,7 @@
   std::shared_ptr<CallerInput> Input_;
   RequestReader Reader_;
   ResponseWriter Writer_;
+  const base::HolderCountPtr Counted_;
   MemoryShare Share_;
   /// Limits how long the caller may be idle or take to send a request.
   asynckit::Deadline Timer_;
--- a/src/libs/vm/simplehttpserver.cpp
+++ b/src/libs/vm/simplehttpserver.cpp
@@ -34,10 +34,22 @@
 }
 
 SimpleHttpServer::SimpleHttpServer(VmState &State, const tcp::endpoint &Address,
-                                   std::size_t MaxConnections,
+                                   base::HolderCountPtr Count,
+                                   std::function<void()> MakeRoom,
                                    Handler RequestHandler)
     : State_(State), Acceptor_(State.Context_, Address),
-      MaxConnections_(MaxConnections), Handler_(std::move(RequestHandler)) {}
+      Count_(std::move(Count)), MakeRoom_(std::move(MakeRoom)),
+      Handler_(std::move(RequestHandler)) {}
+
+void SimpleHttpServer::closeLeastActive() {
+  Connection *Least = base::findLeastActive(Connections_);
+  if (!Least)
+    return;
+  // It is unlinked here, since its coroutine ends later.
+  Least->unlink();
+  Least->close();
+  State_.Metrics_.ClosedConnections_.add();
+}
 
 void SimpleHttpServer::start() {
   asio::co_spawn(State_.Context_, accept(), asio::detached);
@@ -52,14 +64,9 @@
       co_await Pause.async_wait(into(Error));
       continue;
     }
-    if (Connections_.size() >= MaxConnections_) {
-      // It is unlinked here, since its coroutine ends later.
-      Connection *Least = base::findLeastActive(Connections_);
-      Least->unlink();
-      Least->close();
-      State_.Metrics_.ClosedConnections_.add();
-    }
-    auto Client = std::make_shared<Connection>(std::move(Socket), State_.now());
+    MakeRoom_();
+    auto Client =
+        std::make_shared<Connection>(std::move(Socket), State_.now(), Count_);
     Connections_.push_back(*Client);
     asio::co_spawn(State_.Context_, serve(std::move(Client)), asio::detached);
   }
--- a/src/libs/vm/simplehttpserver.h
+++ b/src/libs/vm/simplehttpserver.h
@@ -35,11 +35,16 @@
   using Handler = std::function<SimpleHttpResponse(
       const std::string &Path, const QueryParameters &Parameters)>;
 
-  /// Serves at most \p MaxConnections connections at once. A further one takes
-  /// the place of the least active.
+  /// \p MakeRoom is called for each new connection, before it is served. The
+  /// connections are counted by \p Count.
   SimpleHttpServer(VmState &State,
                    const boost::asio::ip::tcp::endpoint &Address,
-                   std::size_t MaxConnections, Handler RequestHandler);
+                   base::HolderCountPtr Count, std::function<void()> MakeRoom,
+                   Handler RequestHandler);
+
+  /// Closes the least active connection, if there is one.
+  void closeLeastActive();
+  std::size_t connectionCount() const { return Count_->value(); }
 
   void start();
 
@@ -48,14 +53,17 @@
   struct Connection
       : public boost::intrusive::list_base_hook<
             boost::intrusive::link_mode<boost::intrusive::auto_unlink>> {
-    Connection(boost::asio::ip::tcp::socket Socket, base::TimePoint Now)
+    Connection(boost::asio::ip::tcp::socket Socket, base::TimePoint Now,
+               base::HolderCountPtr Count)
         : Socket_(std::move(Socket)), Activity_{base::ConnectionUse::Unused,
-                                                Now} {}
+                                                Now},
+          Count_(std::move(Count)) {}
     const base::ConnectionActivity &activity() const { return Activity_; }
     void close();
 
     boost::asio::ip::tcp::socket Socket_;
     base::ConnectionActivity Activity_;
+    const base::HolderCountPtr Count_;
   };
 
   asynckit::awaitable<void> accept();
@@ -63,7 +71,8 @@
 
   VmState &State_;
   boost::asio::ip::tcp::acceptor Acceptor_;
-  std::size_t MaxConnections_;
+  const base::HolderCountPtr Count_;
+  std::function<void()> MakeRoom_;
   Handler Handler_;
   boost::intrusive::list<Connection,
                          boost::intrusive::constant_time_size<false>>
--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -97,22 +97,26 @@
                                          asio::detached);
                         }}),
       ReadinessServer_(
-          State, State.Settings_.Readiness_, MaxPlatformConnections,
+          State, State.Settings_.Readiness_, new base::HolderCount,
+          [this] { limitPlatformConnections(ReadinessServer_); },
           [this](const std::string &Path, const QueryParameters &) {
             return answerReadiness(Path);
           }),
       DirectoryServer_(
-          State, State.Settings_.Directory_,
-          State.Settings_.maxDirectoryConnections(),
+          State, State.Settings_.Directory_, State.DirectoryConnections_,
+          [this] { makeRoomForConnection(); },
           [this](const std::string &Path, const QueryParameters &Parameters) {
             return answerDirectory(Path, Parameters);
           }),
-      MetricsServer_(State, State.Settings_.Metrics_, MaxPlatformConnections,
-                     [this](const std::string &Path, const QueryParameters &) {
-                       return answerMetrics(Path);
-                     }),
+      MetricsServer_(
+          State, State.Settings_.Metrics_, new base::HolderCount,
+          [this] { limitPlatformConnections(MetricsServer_); },
+          [this](const std::string &Path, const QueryParameters &) {
+            return answerMetrics(Path);
+          }),
       CallerAcceptor_(Context), PeerAcceptor_(Context),
       Signals_(Context, SIGTERM, SIGINT, SIGHUP) {
+  State_.MakeRoomForConnection_ = [this] { makeRoomForConnection(); };
   Messenger_.setTokenHandlers(
       [this](const peers::TokenAsk &Ask) { return Admission_.answerAsk(Ask); },
       [this](const peers::TokenAnswer &Answer) {
@@ -176,7 +180,7 @@
       State_.log(EventLine("peer-connection-rejected"));
       continue;
     }
-    if (!makeRoomForSession()) {
+    if (!makeRoomForConnection()) {
       State_.Metrics_.RefusedConnections_.add();
       continue;
     }
@@ -187,11 +191,22 @@
   }
 }
 
-bool VmDaemon::makeRoomForSession() {
-  if (Sessions_.size() < State_.Settings_.maxCallerConnections())
+// The kind of connections that takes more than its part makes room.
+bool VmDaemon::makeRoomForConnection() {
+  const VmSettings &Settings = State_.Settings_;
+  if (State_.openConnections() < Settings.maxConnections())
+    return true;
+  if (State_.DirectoryConnections_->value() > Settings.directoryConnections()) {
+    DirectoryServer_.closeLeastActive();
+    return true;
+  }
+  State_.Connections_.closeIdle();
+  State_.PeerConnections_.closeIdle();
+  if (State_.openConnections() < Settings.maxConnections())
     return true;
   CallerSession *Least = base::findLeastActive(Sessions_);
-  if (!Least)
+  if (!Least ||
+      State_.CallerConnections_->value() <= Settings.callerConnections())
     return false;
   State_.Metrics_.ClosedConnections_.add();
   // It is unlinked here, since its coroutines end later.
@@ -200,6 +215,11 @@
   return true;
 }
 
+void VmDaemon::limitPlatformConnections(SimpleHttpServer &Server) {
+  if (Server.connectionCount() >= MaxPlatformConnections)
+    Server.closeLeastActive();
+}
+
 // One line for each interval in which callers were refused or closed.
 void VmDaemon::logCallerLimits() {
   const CallerMemory &Memory = *State_.CallerMemory_;
--- a/src/libs/vm/vmdaemon.h
+++ b/src/libs/vm/vmdaemon.h
@@ -40,8 +40,10 @@
   void logSilentVms(const std::vector<std::string> &LiveVms);
   void closeIdleSessions();
   /// Closes a connection if there are too many for another one. Returns false
-  /// if all are busy.
-  bool makeRoomForSession();
+  /// if there is none to be closed.
+  bool makeRoomForConnection();
+  /// Closes a connection of \p Server if there are too many for another one.
+  static void limitPlatformConnections(SimpleHttpServer &Server);
   /// Logs that callers were refused or closed since the last call.
   void logCallerLimits();
 
--- a/src/libs/vm/vmsettings.cpp
+++ b/src/libs/vm/vmsettings.cpp
@@ -25,7 +25,7 @@
 // usual size, and connections to the store, upstreams and some callers.
 constexpr std::int64_t MinMemoryMb = 16;
 constexpr std::int64_t MaxMemoryMb = 1 << 20;
-constexpr std::int64_t MinFileDescriptors = 128;
+constexpr std::int64_t MinFileDescriptors = 256;
 constexpr std::int64_t MaxFileDescriptors = 1 << 20;
 constexpr std::size_t BytesPerMb = 1UL << 20;
 
--- a/src/libs/vm/vmsettings.h
+++ b/src/libs/vm/vmsettings.h
@@ -39,13 +39,17 @@
   std::size_t MemoryBytes_ = 256UL << 20;
   /// File descriptors that the process may open.
   std::size_t FileDescriptors_ = 4096;
-  /// Parts of the file descriptors. The rest is for the store, other VMs,
-  /// readiness, metrics and files.
-  std::size_t maxCallerConnections() const { return FileDescriptors_ * 3 / 8; }
-  std::size_t maxUpstreamConnections() const {
-    return FileDescriptors_ * 3 / 8;
+  /// Descriptors for the store, other VMs, readiness and metrics.
+  static constexpr std::size_t OtherDescriptors = 48;
+  /// Connections of callers, of the directory's clients and to upstreams that
+  /// may be open together. A sixteenth of the descriptors is left for files.
+  std::size_t maxConnections() const {
+    return FileDescriptors_ - FileDescriptors_ / 16 - OtherDescriptors;
   }
-  std::size_t maxDirectoryConnections() const { return FileDescriptors_ / 16; }
+  /// Parts of them that the other kinds of connections can't take.
+  std::size_t callerConnections() const { return FileDescriptors_ * 5 / 16; }
+  std::size_t upstreamConnections() const { return FileDescriptors_ * 5 / 16; }
+  std::size_t directoryConnections() const { return FileDescriptors_ / 16; }
 
   /// Limits of the fleet, in the platform's text format.
   std::vector<std::string> Bounds_;
--- a/src/libs/vm/vmstate.cpp
+++ b/src/libs/vm/vmstate.cpp
@@ -95,16 +95,13 @@
       PeerConnections_(Context) {}
 
 bool VmState::areUpstreamConnectionsScarce() const {
-  return Exchanges_->value() >= Settings_.maxUpstreamConnections() / 2;
+  return Exchanges_->value() >= Settings_.upstreamConnections() / 2;
 }
 
 bool VmState::makeRoomForUpstreamConnection() {
-  const std::size_t Max = Settings_.maxUpstreamConnections();
-  if (Connections_.openCount() + PeerConnections_.openCount() >= Max) {
-    Connections_.closeIdle();
-    PeerConnections_.closeIdle();
-  }
-  return Exchanges_->value() <= Max;
+  if (MakeRoomForConnection_)
+    MakeRoomForConnection_();
+  return Exchanges_->value() <= Settings_.upstreamConnections();
 }
 
 void VmState::logNamedLimit(const traffic::UpstreamState &Upstream,
--- a/src/libs/vm/vmstate.h
+++ b/src/libs/vm/vmstate.h
@@ -90,9 +90,16 @@
   bool areUpstreamConnectionsScarce() const;
 
   /// Returns whether there is room for the upstream connection of one more
-  /// request. Closes idle connections if that makes room.
+  /// request. Closes less active connections if that makes room.
   bool makeRoomForUpstreamConnection();
 
+  /// Returns the number of open connections of callers, of the directory's
+  /// clients and to upstreams.
+  std::size_t openConnections() const {
+    return CallerConnections_->value() + DirectoryConnections_->value() +
+           Connections_.openCount() + PeerConnections_.openCount();
+  }
+
   /// Returns whether callers may be sent to this VM.
   bool isReady() const { return Rules_ && KnowsUpstreams_ && !IsStopping_; }
 
@@ -106,6 +113,11 @@
   VmMetrics Metrics_;
   asynckit::DeadlineList Deadlines_;
   CallerMemoryPtr CallerMemory_;
+  base::HolderCountPtr CallerConnections_{new base::HolderCount};
+  base::HolderCountPtr DirectoryConnections_{new base::HolderCount};
+  /// Closes the least active connection if there are too many. Empty if there
+  /// is no limit.
+  std::function<void()> MakeRoomForConnection_;
   /// Connections of callers that are read only so that they are not reset.
   base::HolderCountPtr Lingering_{new base::HolderCount};
   /// Requests of callers in process, of which each takes at most one connection
--- a/tests/libs/vm/vmsettingstest.cpp
+++ b/tests/libs/vm/vmsettingstest.cpp
@@ -35,7 +35,7 @@
   BOOST_TEST(Stated.value().FileDescriptors_ == 4100U);
   const auto Unstated = readWith("");
   BOOST_TEST(Unstated.value().MemoryBytes_ >= 16UL << 20);
-  BOOST_TEST(Unstated.value().FileDescriptors_ >= 128U);
+  BOOST_TEST(Unstated.value().FileDescriptors_ >= 256U);
 }
 
 BOOST_AUTO_TEST_CASE(machineThatHoldsNoRequestIsAFinding) {
@@ -46,12 +46,13 @@
 // All parts together leave room for files, the store and other VMs.
 BOOST_AUTO_TEST_CASE(partsOfTheDescriptorsLeaveRoomForTheOthers) {
   VmSettings Settings;
-  for (const std::size_t Descriptors : {128UL, 256UL, 4100UL, 8192UL}) {
+  for (const std::size_t Descriptors : {256UL, 1024UL, 4100UL, 8192UL}) {
     Settings.FileDescriptors_ = Descriptors;
-    BOOST_TEST(Settings.maxCallerConnections() +
-                   Settings.maxUpstreamConnections() +
-                   Settings.maxDirectoryConnections() <=
-               Descriptors * 13 / 16);
+    BOOST_TEST(Settings.callerConnections() + Settings.upstreamConnections() +
+                   Settings.directoryConnections() <=
+               Settings.maxConnections());
+    BOOST_TEST(Settings.maxConnections() + VmSettings::OtherDescriptors <
+               Descriptors);
   }
 }
 
