Keep idle connections to upstreams while callers can make room

A crowd of silent connections would otherwise have each new connection close all idle connections to upstreams, so that every request needs a new one. Found by reading; it concerns only a VM whose descriptors are used up.

--- a/src/libs/vm/vmdaemon.cpp
+++ b/src/libs/vm/vmdaemon.cpp
@@ -200,19 +200,18 @@
     DirectoryServer_.closeLeastActive();
     return true;
   }
+  CallerSession *Least = base::findLeastActive(Sessions_);
+  if (Least &&
+      State_.CallerConnections_->value() > Settings.callerConnections()) {
+    State_.Metrics_.ClosedConnections_.add();
+    // It is unlinked here, since its coroutines end later.
+    Least->unlink();
+    Least->endForOthers();
+    return true;
+  }
   State_.Connections_.closeIdle();
   State_.PeerConnections_.closeIdle();
-  if (State_.openConnections() < Settings.maxConnections())
-    return true;
-  CallerSession *Least = base::findLeastActive(Sessions_);
-  if (!Least ||
-      State_.CallerConnections_->value() <= Settings.callerConnections())
-    return false;
-  State_.Metrics_.ClosedConnections_.add();
-  // It is unlinked here, since its coroutines end later.
-  Least->unlink();
-  Least->endForOthers();
-  return true;
+  return State_.openConnections() < Settings.maxConnections();
 }
 
 void VmDaemon::limitPlatformConnections(SimpleHttpServer &Server) {
