Keep the receive buffers of callers' sockets small until a body is awaited

What was seen: beside other load the rows vm-body-below-a-small-one and vm-body-tiny-chunks took 58.0 and 51.8 MB of 40, of which 40.7 and 35.5 MB were unread bytes: the VM got no processor time, and the kernel took up to 200 KB for each of 190 connections. Since connections share all descriptors, their number is no longer what limits this.

Cause: the buffer of each socket had 128 KiB, twice that in the kernel, before a byte of its request was read, and was accounted for only while it was left unread on purpose.

Why it works: a socket has 16 KiB until a body doesn't arrive with its head, 128 KiB while it is received, which the ledger counts.

crowdtest.py ends the processes of a site that fails to start: those that an earlier run had left kept the fixed addresses of the daemons.

--- a/src/libs/vm/callerinput.cpp
+++ b/src/libs/vm/callerinput.cpp
@@ -12,6 +12,9 @@
 // Bytes that are kept unparsed before the socket is left unread.
 constexpr std::size_t MaxUnparsedBytes = 64UL * 1024;
 
+// Size of a socket's receive buffer while a body is received.
+constexpr int LargeBufferBytes = 128 * 1024;
+
 // Reads whose times are kept apart; the bytes of further ones count as arrived
 // with the last of these.
 constexpr std::size_t MaxArrivals = 64;
@@ -37,10 +40,22 @@
 }
 
 std::size_t CallerInput::heldBytes() const {
+  if (HasLargeBuffer_)
+    return Bytes_.capacity() + LargeBufferBytes;
   const bool IsLeftUnread = bytes().size() >= MaxUnparsedBytes;
   return Bytes_.capacity() + (IsLeftUnread ? ReceiveBufferBytes : 0);
 }
 
+void CallerInput::setLargeBuffer(bool IsLarge) {
+  if (IsLarge == HasLargeBuffer_ || !Socket_)
+    return;
+  HasLargeBuffer_ = IsLarge;
+  boost::system::error_code Ignored; // The size only affects the throughput.
+  Socket_->set_option(boost::asio::socket_base::receive_buffer_size(
+                          IsLarge ? LargeBufferBytes : ReceiveBufferBytes),
+                      Ignored);
+}
+
 void CallerInput::consume(std::size_t Count) {
   Consumed_ += Count;
   while (!Arrivals_.empty() &&
--- a/src/libs/vm/callerinput.h
+++ b/src/libs/vm/callerinput.h
@@ -22,8 +22,9 @@
 /// bound.
 class CallerInput : public std::enable_shared_from_this<CallerInput> {
 public:
-  /// Size of the receive buffer of a caller's socket.
-  static constexpr int ReceiveBufferBytes = 128 * 1024;
+  /// Size of the receive buffer of a caller's socket. What a crowd has sent
+  /// before its requests are read takes memory, too.
+  static constexpr int ReceiveBufferBytes = 16 * 1024;
 
   CallerInput(boost::asio::io_context &Context,
               boost::asio::ip::tcp::socket &Socket, const base::Clock &Clock)
@@ -48,6 +49,10 @@
   /// while it is left unread.
   std::size_t heldBytes() const;
 
+  /// Enlarges the receive buffer of the socket while a body is received, or
+  /// resets it. The memory of a large buffer is accounted for.
+  void setLargeBuffer(bool IsLarge);
+
   /// Removes the first \p Count bytes.
   void consume(std::size_t Count);
 
@@ -86,6 +91,7 @@
   std::uint64_t BytesBefore_ = 0;
   std::vector<Arrival> Arrivals_;
   bool IsArmed_ = false;
+  bool HasLargeBuffer_ = false;
   bool HasEnded_ = false;
 };
 
--- a/src/libs/vm/callersession.cpp
+++ b/src/libs/vm/callersession.cpp
@@ -269,6 +269,7 @@
   Request.Body_ = std::string();
   Request.HasMoreBody_ = false;
   IncomingBytes_ = 0;
+  Input_->setLargeBuffer(false);
   IsReceiving_ = false;
   MayLinger_ = !Reader_.isComplete();
   const ExchangePtr Rejected = makeExchange(std::move(Request), Arrived);
@@ -354,6 +355,8 @@
     if (IsEvicted_)
       break;
     recordBodyProgress(Request.Body_.size() - Before);
+    // A body that has arrived with its head needs no large buffer.
+    Input_->setLargeBuffer(!Reader_.isComplete());
     IncomingBytes_ = HeadBytes + Request.Body_.capacity();
     HasRoom = updateMemory();
   }
@@ -366,6 +369,7 @@
   if (!IsRead)
     co_return RequestRefusal{0, "", {}};
   Request.HasMoreBody_ = !Reader_.isComplete();
+  Input_->setLargeBuffer(Request.HasMoreBody_);
   co_return std::nullopt;
 }
 
--- a/tests/processes/crowdtest.py
+++ b/tests/processes/crowdtest.py
@@ -197,6 +197,13 @@
 
     async def __aenter__(self):
         self.stack = contextlib.AsyncExitStack()
+        try:
+            return await self.start_all()
+        except BaseException:
+            await self.stack.aclose()
+            raise
+
+    async def start_all(self):
         folder = self.stack.enter_context(tempfile.TemporaryDirectory())
         self.site = await self.stack.enter_async_context(harness.Deployment(folder))
         routes = [harness.route("r1", "idempotent", "/status/", "statusd", 1000, 20_000),
@@ -308,6 +315,13 @@
         return process
 
     async def __aenter__(self):
+        try:
+            return await self.start_all()
+        except BaseException:
+            await self.__aexit__()
+            raise
+
+    async def start_all(self):
         self.holder = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(self.holder.name)
         subprocess.run([self.options.programs / "ebony-load", "fleet", "--deployment=confirmacor",
