--- a/review/standins-2/kit.py
+++ b/review/standins-2/kit.py
@@ -22,11 +22,19 @@
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 
 
+GIVEN_PORTS = set()
+
+
 def free_port(address):
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((address, 0))
-        return probe.getsockname()[1]
+    """Returns a port that is free at the address and was not returned before."""
+    while True:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probe.bind((address, 0))
+            port = probe.getsockname()[1]
+        if port not in GIVEN_PORTS:
+            GIVEN_PORTS.add(port)
+            return port
 
 
 class Record:
